--- /dev/null
+++ b/src/libzinniastep/gateway/gateway_settings.cc
@@ -0,0 +1,110 @@
+#include "libzinniastep/gateway/gateway_settings.h"
+
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+#include "libzinniastep/configuration/json_object_reader.h"
+
+namespace zinniastep {
+
+namespace {
+
+constexpr std::size_t kLongestAddress = 64;
+constexpr std::uint64_t kLongestMilliseconds = 600'000;
+constexpr WholeRange kSomeItems{1, 1000};
+constexpr WholeRange kAnyItems{0, 1000};
+constexpr RealRange kAnyShare{0.0, 100.0};
+constexpr RealRange kAnySlack{0.0, 1e6};
+
+auto ReadTime(JsonObjectReader& reader, std::string_view key) -> Duration {
+  return std::chrono::milliseconds(
+      reader.Whole(key, {0, kLongestMilliseconds}, Presence::kRequired));
+}
+
+auto ReadTexts(JsonObjectReader& reader,
+               std::string_view key,
+               WholeRange count,
+               Findings& findings) -> std::vector<std::string> {
+  std::vector<std::string> texts;
+  reader.Items(key, count, Presence::kRequired,
+               [&](const nlohmann::json& item, const std::string& place) {
+                 if (!item.is_string()) {
+                   findings.push_back({place, "must be a text"});
+                   return;
+                 }
+                 texts.push_back(item.get<std::string>());
+               });
+  return texts;
+}
+
+auto ReadRegions(const nlohmann::json& value,
+                 const std::string& place,
+                 Findings& findings)
+    -> std::vector<std::pair<FailureDomainId, RegionId>> {
+  std::vector<std::pair<FailureDomainId, RegionId>> regions;
+  if (!value.is_object()) {
+    findings.push_back({place, "must be an object"});
+    return regions;
+  }
+  for (const auto& [domain, region] : value.items()) {
+    if (!region.is_string()) {
+      findings.push_back({MemberPlace(place, domain), "must be a text"});
+      continue;
+    }
+    regions.emplace_back(FailureDomainId(domain),
+                         RegionId(region.get<std::string>()));
+  }
+  return regions;
+}
+
+}  // namespace
+
+auto ReadGatewaySettings(std::string_view text) -> ParsedGatewaySettings {
+  ParsedGatewaySettings parsed;
+  Findings& findings = parsed.findings;
+  const auto json = ParseJson(text, findings);
+  if (!json.has_value()) {
+    return parsed;
+  }
+  JsonObjectReader reader(*json, "", findings);
+  const auto address = [&reader](std::string_view key, Presence presence) {
+    return reader.Text(key, kLongestAddress, presence);
+  };
+  GatewaySettings settings;
+  settings.host = HostId(reader.Name("host", Presence::kRequired));
+  settings.domain =
+      FailureDomainId(reader.Name("failure_domain", Presence::kRequired));
+  settings.region = RegionId(reader.Name("region", Presence::kRequired));
+  const auto* regions = reader.Member("regions", Presence::kRequired);
+  if (regions != nullptr) {
+    settings.regions = ReadRegions(*regions, "/regions", findings);
+  }
+  settings.caller_address = address("caller_address", Presence::kRequired);
+  settings.ready_address = address("ready_address", Presence::kRequired);
+  settings.directory_address =
+      address("directory_address", Presence::kRequired);
+  settings.metrics_address = address("metrics_address", Presence::kOptional);
+  settings.peer_address = address("peer_address", Presence::kRequired);
+  settings.seeds = ReadTexts(reader, "seeds", kAnyItems, findings);
+  settings.store_address = address("store_address", Presence::kRequired);
+  settings.signing_keys =
+      ReadTexts(reader, "signing_keys", kSomeItems, findings);
+  settings.shutdown_time = ReadTime(reader, "shutdown_ms");
+  settings.leaving_time = ReadTime(reader, "leaving_ms");
+  settings.longest_address_lifetime = ReadTime(reader, "address_lifetime_ms");
+  settings.repeat_share =
+      reader.Real("repeat_share", kAnyShare, Presence::kRequired);
+  settings.repeat_slack =
+      reader.Real("repeat_slack", kAnySlack, Presence::kRequired);
+  settings.most_descriptors = reader.Whole(
+      "most_descriptors", {64, std::numeric_limits<std::uint32_t>::max()},
+      Presence::kRequired);
+  reader.Finish();
+  if (findings.empty()) {
+    parsed.value = std::move(settings);
+  }
+  return parsed;
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/gateway/gateway_settings.h
@@ -0,0 +1,64 @@
+#ifndef LIBZINNIASTEP_GATEWAY_GATEWAY_SETTINGS_H_
+#define LIBZINNIASTEP_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "libzinniastep/base/finding.h"
+#include "libzinniastep/base/ids.h"
+#include "libzinniastep/base/time.h"
+
+namespace zinniastep {
+
+// What one gateway process is told at its start. All addresses are numeric
+// "address:port".
+struct GatewaySettings {
+  HostId host;
+  FailureDomainId domain;
+  RegionId region;
+  // All failure domains with their regions.
+  std::vector<std::pair<FailureDomainId, RegionId>> regions;
+  // Where callers send requests, ask whether this host is ready, and ask for
+  // addresses.
+  std::string caller_address;
+  std::string ready_address;
+  std::string directory_address;
+  // Where metrics are read; empty means nowhere.
+  std::string metrics_address;
+  std::string peer_address;
+  // Hosts to join through.
+  std::vector<std::string> seeds;
+  std::string store_address;
+  // Sign the messages between hosts; the first one signs, all are accepted.
+  std::vector<std::string> signing_keys;
+  // Time that a graceful shutdown may take.
+  Duration shutdown_time{0};
+  // After this time a server that left must get nothing more.
+  Duration leaving_time{0};
+  // Longest time that callers keep an answer of the directory.
+  Duration longest_address_lifetime{0};
+  // Repeats that all hosts together may send to a service: a share of its
+  // requests, and a number beside.
+  double repeat_share = 0.0;
+  double repeat_slack = 0.0;
+  std::size_t most_descriptors = 1024;
+};
+
+// Settings, or what is wrong with them.
+struct ParsedGatewaySettings {
+  std::optional<GatewaySettings> value;
+  Findings findings;
+};
+
+// Reads settings in JSON and collects all findings.
+[[nodiscard]] auto ReadGatewaySettings(std::string_view text)
+    -> ParsedGatewaySettings;
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/libzinniastep/gateway/messages.h
@@ -0,0 +1,82 @@
+#ifndef LIBZINNIASTEP_GATEWAY_MESSAGES_H_
+#define LIBZINNIASTEP_GATEWAY_MESSAGES_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libzinniastep/base/ids.h"
+#include "libzinniastep/gateway/record_mirror.h"
+#include "libzinniastep/gateway/version_evidence.h"
+
+namespace zinniastep {
+
+// Tells which states of the store's objects the sender holds.
+struct RecordDigests {
+  std::array<RecordDigest, kRecordKinds> kinds;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    for (RecordDigest& digest : kinds) {
+      archive(digest);
+    }
+  }
+};
+
+// Asks for the sender's state of one kind.
+struct RecordsRequest {
+  RecordKind kind = RecordKind::kConfiguration;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(kind);
+  }
+};
+
+// One row of a host's evidence.
+struct VersionRow {
+  VersionKey key;
+  VersionCounts counts;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(key, counts);
+  }
+};
+
+// All that the sender's own answers have shown since it started; a later one
+// replaces an earlier one.
+struct OwnEvidence {
+  std::vector<VersionRow> rows;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(rows);
+  }
+};
+
+// A version showed a fault; it gets no new work under this order.
+struct VersionFault {
+  ServiceId service;
+  std::string version;
+  std::uint64_t order = 0;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(service, version, order);
+  }
+};
+
+// The gateway's messages between hosts.
+using GatewayMessage = std::variant<std::monostate,
+                                    RecordDigests,
+                                    RecordsRequest,
+                                    RecordSnapshot,
+                                    OwnEvidence,
+                                    VersionFault>;
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_GATEWAY_MESSAGES_H_
--- /dev/null
+++ b/src/libzinniastep/gateway/model_ladder.h
@@ -0,0 +1,38 @@
+#ifndef LIBZINNIASTEP_GATEWAY_MODEL_LADDER_H_
+#define LIBZINNIASTEP_GATEWAY_MODEL_LADDER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace zinniastep {
+
+// What the choice of a model depends on.
+struct LadderState {
+  // Models that may answer, smallest first.
+  std::size_t models = 0;
+  // Requests for each place of the service's servers; 1 is full.
+  double utilization = 0.0;
+  // Sends that the request may still use, the next one included.
+  std::uint32_t sends_left = 1;
+};
+
+// Returns the position of the model that a request begins with. Larger models
+// answer harder requests well and take more of a server's time, so that the
+// largest answers until its servers fill up.
+[[nodiscard]] auto FirstModel(const LadderState& state) -> std::size_t;
+
+// Returns the position of the model that should answer in place of one whose
+// opinion of its own answer is known, or nothing when that answer stands.
+[[nodiscard]] auto NextModel(const LadderState& state,
+                             std::size_t model,
+                             std::uint32_t confidence)
+    -> std::optional<std::size_t>;
+
+// Returns how urgent a request of a priority is at an engine, from 0 (first)
+// to 9. Priority 0 keeps a step in reserve for work that was begun elsewhere.
+[[nodiscard]] auto EngineUrgency(std::uint32_t priority) -> std::uint32_t;
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_GATEWAY_MODEL_LADDER_H_
--- /dev/null
+++ b/src/libzinniastep/gateway/record_watcher.cc
@@ -0,0 +1,99 @@
+#include "libzinniastep/gateway/record_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libzinniastep/base/overloaded.h"
+
+namespace zinniastep {
+
+namespace {
+
+// Doublings after which the pause stays at its longest.
+constexpr std::uint32_t kMostDoublings = 6;
+
+}  // namespace
+
+RecordWatcher::RecordWatcher(RecordKind kind,
+                             WatcherLimits limits,
+                             std::uint64_t seed)
+    : kind_(kind), limits_(limits), random_(seed) {
+  pages_.kind = kind;
+}
+
+auto RecordWatcher::NextRead(Instant now) -> std::optional<RecordRead> {
+  if (reading_ || now < not_before_) {
+    return std::nullopt;
+  }
+  reading_ = true;
+  if (listing_) {
+    const std::string after =
+        pages_.records.empty() ? std::string() : pages_.records.back().name;
+    return ListRecords{kind_, after, limits_.list_timeout};
+  }
+  return WatchRecords{kind_, as_of_, limits_.watch_wait,
+                      limits_.watch_wait + limits_.watch_slack};
+}
+
+auto RecordWatcher::Pause(Instant now) -> void {
+  const Duration pause = std::min(
+      limits_.longest_pause,
+      limits_.first_pause * (1U << std::min(failures_, kMostDoublings)));
+  // Hosts that failed together come back spread over the pause.
+  const double part = 0.5 + 0.5 * random_.Unit();
+  not_before_ = now + std::chrono::duration_cast<Duration>(pause * part);
+  ++failures_;
+}
+
+auto RecordWatcher::Take(Instant now, const RecordPage& page)
+    -> std::optional<RecordSnapshot> {
+  failures_ = 0;
+  not_before_ = now;
+  // Pages may be of different revisions: the first one's is safe to watch from,
+  // since the watch tells again what later pages already showed.
+  if (pages_.records.empty()) {
+    pages_.as_of = page.as_of;
+  }
+  pages_.records.insert(pages_.records.end(), page.records.begin(),
+                        page.records.end());
+  if (page.has_more && !page.records.empty()) {
+    return std::nullopt;
+  }
+  listing_ = false;
+  as_of_ = pages_.as_of;
+  RecordSnapshot whole = std::move(pages_);
+  pages_ = {};
+  pages_.kind = kind_;
+  return whole;
+}
+
+auto RecordWatcher::OnResult(Instant now, const RecordReadResult& result)
+    -> std::optional<RecordSnapshot> {
+  reading_ = false;
+  const auto list_again = [this, now] {
+    listing_ = true;
+    pages_ = {};
+    pages_.kind = kind_;
+    Pause(now);
+  };
+  return std::visit(
+      Overloaded{
+          [&](const RecordPage& page) { return Take(now, page); },
+          [&](const RecordChanges& changes) -> std::optional<RecordSnapshot> {
+            failures_ = 0;
+            not_before_ = now;
+            as_of_ = std::max(as_of_, changes.as_of);
+            return std::nullopt;
+          },
+          [&](const HistoryGone&) -> std::optional<RecordSnapshot> {
+            list_again();
+            return std::nullopt;
+          },
+          [&](const ReadFailed&) -> std::optional<RecordSnapshot> {
+            list_again();
+            return std::nullopt;
+          }},
+      result);
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -0,0 +1,326 @@
+#include "libzinniastep/gateway/server_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "libzinniastep/base/hash.h"
+
+namespace zinniastep {
+
+namespace {
+
+// Work that each request at an engine adds to the next one, in milliseconds:
+// a tenth of a millisecond a token over some 300 tokens.
+constexpr double kRunningCostMs = 30.0;
+// Work that a waiting request adds: reading its prompt first.
+constexpr double kWaitingCostMs = 150.0;
+// Distance in milliseconds, with what the bytes between domains cost.
+constexpr double kOtherDomainCostMs = 10.0;
+constexpr double kOtherRegionCostMs = 120.0;
+// A server that fails all of its sends counts as this much farther away.
+constexpr double kFailureCostMs = 2000.0;
+// Weight of the newest send in a server's share of failures.
+constexpr double kFailureWeight = 0.2;
+// What others run at a server is believed for about this long.
+constexpr double kLoadFadeSeconds = 3.0;
+// A server that could not be reached is left alone for this long, doubled with
+// each failure in a row up to the most.
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(300);
+constexpr std::uint32_t kMostAvoidanceDoublings = 3;
+// Largest part of a cold server's limit that may be saved up, in requests.
+constexpr double kColdBurst = 1.0;
+
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+ServerChooser::ServerChooser(HostId self,
+                             FailureDomainId domain,
+                             RegionId region)
+    : self_(std::move(self)),
+      domain_(std::move(domain)),
+      region_(std::move(region)) {}
+
+auto ServerChooser::SetView(Instant now,
+                            std::shared_ptr<const TrafficView> view) -> void {
+  view_ = std::move(view);
+  std::map<BackendServerId, Knowledge> kept;
+  for (const UsableBackend& backend : view_->backends) {
+    const auto found = knowledge_.find(backend.entry.id);
+    if (found != knowledge_.end() &&
+        found->second.started == backend.entry.started) {
+      kept.insert(*found);
+      continue;
+    }
+    Knowledge knowledge;
+    knowledge.started = backend.entry.started;
+    knowledge.last_progress = now;
+    knowledge.cold_at = now;
+    kept[backend.entry.id] = knowledge;
+  }
+  knowledge_ = std::move(kept);
+}
+
+auto ServerChooser::RegionOf(const FailureDomainId& domain) const -> RegionId {
+  for (const auto& [candidate, region] : view_->regions) {
+    if (candidate == domain) {
+      return region;
+    }
+  }
+  return {};
+}
+
+auto ServerChooser::InRegions(const UsableBackend& backend,
+                              std::span<const RegionId> regions) const -> bool {
+  return regions.empty() ||
+         std::ranges::find(regions, RegionOf(backend.entry.domain)) !=
+             regions.end();
+}
+
+auto ServerChooser::AllowedBySplit(const UsableBackend& backend,
+                                   const ServerNeed& need,
+                                   bool target_is_out) const -> bool {
+  for (const RolloutSplit& split : view_->splits) {
+    if (split.service != need.service) {
+      continue;
+    }
+    const std::uint64_t draw =
+        StableHash(split.target_version, need.session ^ split.order);
+    const double place = static_cast<double>(draw >> 11U) * 0x1.0p-53;
+    const bool to_target = !target_is_out && place < split.target_share;
+    return (backend.entry.version == split.target_version) == to_target;
+  }
+  return true;
+}
+
+auto ServerChooser::MayServe(Instant now,
+                             const UsableBackend& backend,
+                             const ServerNeed& need,
+                             bool target_is_out) const -> bool {
+  if (backend.entry.service != need.service ||
+      view_->evacuated.contains(backend.entry.domain) ||
+      !InRegions(backend, need.regions) ||
+      !InRegions(backend, need.account_regions) ||
+      std::ranges::find(need.tried, backend.entry.id) != need.tried.end()) {
+    return false;
+  }
+  if (!AllowedBySplit(backend, need, target_is_out)) {
+    return false;
+  }
+  const auto knowledge = knowledge_.find(backend.entry.id);
+  return knowledge == knowledge_.end() || knowledge->second.avoid_until <= now;
+}
+
+auto ServerChooser::Load(Instant now, const BackendServerId& id) const
+    -> double {
+  const auto found = knowledge_.find(id);
+  if (found == knowledge_.end()) {
+    return 0.0;
+  }
+  const Knowledge& knowledge = found->second;
+  const double fade =
+      std::exp(-Seconds(now - knowledge.load_at) / kLoadFadeSeconds);
+  return knowledge.open + knowledge.others * fade;
+}
+
+auto ServerChooser::Preferred(const std::vector<const UsableBackend*>& from,
+                              const ServerNeed& need) const -> BackendServerId {
+  if (need.affinity == 0) {
+    return {};
+  }
+  // Servers of the home region first: the shared parts are then read once a
+  // region and need not cross the link between regions.
+  const UsableBackend* best = nullptr;
+  std::pair<bool, std::uint64_t> best_rank;
+  for (const UsableBackend* backend : from) {
+    const std::pair<bool, std::uint64_t> rank(
+        RegionOf(backend->entry.domain) == region_,
+        StableHash(backend->entry.id.text(), need.affinity));
+    if (best == nullptr || rank > best_rank) {
+      best = backend;
+      best_rank = rank;
+    }
+  }
+  return best == nullptr ? BackendServerId() : best->entry.id;
+}
+
+auto ServerChooser::Cost(Instant now,
+                         const UsableBackend& backend,
+                         const ServerNeed& need,
+                         const BackendServerId& preferred) const -> double {
+  double cost = Load(now, backend.entry.id) * kRunningCostMs;
+  const auto found = knowledge_.find(backend.entry.id);
+  if (found != knowledge_.end()) {
+    const double fade =
+        std::exp(-Seconds(now - found->second.load_at) / kLoadFadeSeconds);
+    cost += found->second.waiting * fade * kWaitingCostMs;
+    cost += found->second.failures * kFailureCostMs;
+  }
+  if (backend.entry.domain != domain_) {
+    cost += RegionOf(backend.entry.domain) == region_ ? kOtherDomainCostMs
+                                                      : kOtherRegionCostMs;
+  }
+  if (need.affinity != 0 && backend.entry.id != preferred) {
+    cost += need.affinity_gain_ms;
+  }
+  return cost;
+}
+
+auto ServerChooser::TakeColdPlace(Instant now, const UsableBackend& backend)
+    -> bool {
+  const auto rate = view_->cold_rates.find(backend.entry.id);
+  if (rate == view_->cold_rates.end()) {
+    return backend.cold_until <= now;
+  }
+  if (backend.cold_until <= now) {
+    return true;
+  }
+  Knowledge& knowledge = knowledge_[backend.entry.id];
+  knowledge.cold_tokens =
+      std::min(kColdBurst, knowledge.cold_tokens +
+                               Seconds(now - knowledge.cold_at) * rate->second);
+  knowledge.cold_at = now;
+  if (knowledge.cold_tokens < 1.0) {
+    return false;
+  }
+  knowledge.cold_tokens -= 1.0;
+  return true;
+}
+
+auto ServerChooser::Candidates(Instant now, const ServerNeed& need) const
+    -> std::vector<const UsableBackend*> {
+  std::vector<const UsableBackend*> candidates;
+  for (const bool target_is_out : {false, true}) {
+    for (const UsableBackend& backend : view_->backends) {
+      if (MayServe(now, backend, need, target_is_out)) {
+        candidates.push_back(&backend);
+      }
+    }
+    if (!candidates.empty()) {
+      break;
+    }
+  }
+  return candidates;
+}
+
+auto ServerChooser::Choose(Instant now, const ServerNeed& need)
+    -> const UsableBackend* {
+  reason_ = NoServerReason::kNone;
+  if (view_ == nullptr) {
+    return nullptr;
+  }
+  const std::vector<const UsableBackend*> candidates = Candidates(now, need);
+  const BackendServerId preferred = Preferred(candidates, need);
+  std::vector<std::pair<double, const UsableBackend*>> ranked;
+  ranked.reserve(candidates.size());
+  for (const UsableBackend* backend : candidates) {
+    ranked.emplace_back(Cost(now, *backend, need, preferred), backend);
+  }
+  std::ranges::sort(ranked);
+  for (const auto& [cost, backend] : ranked) {
+    if (TakeColdPlace(now, *backend)) {
+      return backend;
+    }
+    reason_ = NoServerReason::kColdLimit;
+  }
+  return nullptr;
+}
+
+auto ServerChooser::OnBegin(const BackendServerId& server) -> void {
+  const auto found = knowledge_.find(server);
+  if (found != knowledge_.end()) {
+    ++found->second.open;
+  }
+}
+
+auto ServerChooser::OnEnd(Instant now, const BackendServerId& server) -> void {
+  const auto found = knowledge_.find(server);
+  if (found != knowledge_.end() && found->second.open > 0) {
+    --found->second.open;
+    found->second.last_progress = std::max(found->second.last_progress, now);
+  }
+}
+
+auto ServerChooser::OnOutcome(Instant now,
+                              const BackendServerId& server,
+                              SendOutcome outcome) -> void {
+  const auto found = knowledge_.find(server);
+  if (found == knowledge_.end()) {
+    return;
+  }
+  Knowledge& knowledge = found->second;
+  const bool failed = outcome != SendOutcome::kAnswered;
+  knowledge.failures +=
+      kFailureWeight * ((failed ? 1.0 : 0.0) - knowledge.failures);
+  if (!failed) {
+    knowledge.failures_in_row = 0;
+    return;
+  }
+  if (outcome == SendOutcome::kServerFailure) {
+    return;
+  }
+  const Duration avoidance =
+      kFirstAvoidance *
+      (1U << std::min(knowledge.failures_in_row, kMostAvoidanceDoublings));
+  knowledge.failures_in_row += 1;
+  knowledge.avoid_until = now + avoidance;
+}
+
+auto ServerChooser::OnLoad(Instant now,
+                           const BackendServerId& server,
+                           const ServerLoad& load) -> void {
+  const auto found = knowledge_.find(server);
+  if (found == knowledge_.end()) {
+    return;
+  }
+  Knowledge& knowledge = found->second;
+  knowledge.others = std::max(
+      0.0, static_cast<double>(load.running) + load.waiting - knowledge.open);
+  knowledge.waiting = load.waiting;
+  knowledge.load_at = now;
+}
+
+auto ServerChooser::OnProgress(Instant now, const BackendServerId& server)
+    -> void {
+  const auto found = knowledge_.find(server);
+  if (found != knowledge_.end()) {
+    found->second.last_progress = now;
+  }
+}
+
+auto ServerChooser::IsSilent(Instant now,
+                             const BackendServerId& server,
+                             Duration time) const -> bool {
+  const auto found = knowledge_.find(server);
+  return found == knowledge_.end() ||
+         (found->second.open > 0 && now - found->second.last_progress >= time);
+}
+
+auto ServerChooser::Utilization(Instant now, const ServiceId& service) const
+    -> double {
+  if (view_ == nullptr) {
+    return 0.0;
+  }
+  double load = 0.0;
+  double places = 0.0;
+  for (const UsableBackend& backend : view_->backends) {
+    if (backend.entry.service == service &&
+        !view_->evacuated.contains(backend.entry.domain)) {
+      load += Load(now, backend.entry.id);
+      places += backend.entry.slots;
+    }
+  }
+  return places > 0.0 ? load / places : 1.0;
+}
+
+auto ServerChooser::IsUsable(const BackendServerId& server) const -> bool {
+  return view_ != nullptr &&
+         std::ranges::any_of(view_->backends, [&](const UsableBackend& known) {
+           return known.entry.id == server;
+         });
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/gateway/traffic_policy.cc
@@ -0,0 +1,60 @@
+#include "libzinniastep/gateway/traffic_policy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinniastep {
+
+TrafficPolicy::TrafficPolicy(std::uint64_t version,
+                             std::vector<ForwardingRoute> routes,
+                             std::vector<ForwardingService> services,
+                             std::vector<ForwardingAccount> accounts,
+                             CallerLimits limits)
+    : version_(version),
+      routes_(std::move(routes)),
+      services_(std::move(services)),
+      accounts_(std::move(accounts)),
+      limits_(limits) {
+  for (std::size_t index = 0; index < routes_.size(); ++index) {
+    by_host_[routes_[index].host].push_back(index);
+  }
+  for (auto& [host, indices] : by_host_) {
+    std::ranges::stable_sort(indices, [this](std::size_t a, std::size_t b) {
+      return routes_[a].path_prefix.size() > routes_[b].path_prefix.size();
+    });
+  }
+  for (std::size_t index = 0; index < accounts_.size(); ++index) {
+    for (const std::string& key : accounts_[index].keys) {
+      by_key_.emplace(key, index);
+    }
+  }
+}
+
+auto TrafficPolicy::FindRoute(std::string_view host,
+                              std::string_view path) const
+    -> const ForwardingRoute* {
+  const auto found = by_host_.find(host);
+  if (found == by_host_.end()) {
+    return nullptr;
+  }
+  for (const std::size_t index : found->second) {
+    if (path.starts_with(routes_[index].path_prefix)) {
+      return &routes_[index];
+    }
+  }
+  return nullptr;
+}
+
+auto TrafficPolicy::FindAccount(std::string_view key) const
+    -> const ForwardingAccount* {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : &accounts_[found->second];
+}
+
+auto TrafficPolicy::FindService(const ServiceId& id) const
+    -> const ForwardingService* {
+  const auto found = std::ranges::find(services_, id, &ForwardingService::id);
+  return found == services_.end() ? nullptr : &*found;
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/gateway/traffic_policy.h
@@ -0,0 +1,134 @@
+#ifndef LIBZINNIASTEP_GATEWAY_TRAFFIC_POLICY_H_
+#define LIBZINNIASTEP_GATEWAY_TRAFFIC_POLICY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libzinniastep/base/ids.h"
+#include "libzinniastep/base/time.h"
+
+namespace zinniastep {
+
+// A part of a route's traffic that goes to one service.
+struct ServiceShare {
+  ServiceId service;
+  // Relative to the other shares of the route.
+  double weight = 1.0;
+};
+
+// How often the work behind a route may run for one client attempt.
+enum class RepeatRule : std::uint8_t { kAtMostOnce, kIdempotent };
+
+// One route: which requests it takes and how they are served.
+struct ForwardingRoute {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string path_prefix;
+  RepeatRule repeat_rule = RepeatRule::kAtMostOnce;
+  // The answer is a stream of events.
+  bool streaming = false;
+  // A stream may go on at another backend server after the last event.
+  bool resumable = false;
+  // Longest time until the final answer.
+  Duration timeout{0};
+  // An answer that begins later is late.
+  Duration target_latency{0};
+  // Longest pause between two events that is still on time.
+  Duration longest_pause{0};
+  // Zero is the most urgent.
+  std::uint32_t priority = 0;
+  // Backend servers to which one client attempt may be sent.
+  std::uint32_t most_servers = 1;
+  // No key is asked for.
+  bool is_public = false;
+  // Models that may answer, smallest first; empty when the caller's choice
+  // holds.
+  std::vector<std::string> models;
+  std::vector<ServiceShare> split;
+  // Regions that may serve the route; empty means all.
+  std::vector<RegionId> home_regions;
+};
+
+// A service: what its backend servers have in common.
+struct ForwardingService {
+  ServiceId id;
+  std::string health_path;
+  // Connections that one backend server takes from all hosts together.
+  std::uint32_t most_connections = 0;
+  // Requests a second that a server in cold start bears; zero means no limit.
+  double cold_requests_per_second = 0.0;
+  // Whether the servers are model engines, which batch and cache prompts.
+  bool is_engine = false;
+  // Prompt and output tokens that one engine keeps at once.
+  double memory_tokens = 0.0;
+};
+
+// A client account as callers prove it.
+struct ForwardingAccount {
+  ClientAccountId id;
+  std::vector<std::string> keys;
+  std::optional<std::uint32_t> priority;
+  std::vector<RegionId> home_regions;
+};
+
+// What callers may send.
+struct CallerLimits {
+  std::size_t header_bytes = 16384;
+  std::size_t body_bytes = std::size_t{4} << 20U;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+// One accepted version of everything that operators say about traffic.
+// Immutable once built, so that threads share it.
+class TrafficPolicy {
+ public:
+  TrafficPolicy(std::uint64_t version,
+                std::vector<ForwardingRoute> routes,
+                std::vector<ForwardingService> services,
+                std::vector<ForwardingAccount> accounts,
+                CallerLimits limits);
+
+  // Returns the host's route with the longest prefix of the path, or null.
+  // The path is without its query.
+  [[nodiscard]] auto FindRoute(std::string_view host,
+                               std::string_view path) const
+      -> const ForwardingRoute*;
+
+  // Returns the account that holds a key, or null.
+  [[nodiscard]] auto FindAccount(std::string_view key) const
+      -> const ForwardingAccount*;
+
+  // Returns a service, or null.
+  [[nodiscard]] auto FindService(const ServiceId& id) const
+      -> const ForwardingService*;
+
+  [[nodiscard]] auto version() const -> std::uint64_t { return version_; }
+  [[nodiscard]] auto limits() const -> const CallerLimits& { return limits_; }
+  // Without accounts no key is asked for.
+  [[nodiscard]] auto has_accounts() const -> bool { return !accounts_.empty(); }
+  [[nodiscard]] auto services() const -> const std::vector<ForwardingService>& {
+    return services_;
+  }
+
+ private:
+  std::uint64_t version_;
+  std::vector<ForwardingRoute> routes_;
+  std::vector<ForwardingService> services_;
+  std::vector<ForwardingAccount> accounts_;
+  CallerLimits limits_;
+  // Positions in routes_, by host, longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  // Positions in accounts_.
+  std::map<std::string, std::size_t, std::less<>> by_key_;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_GATEWAY_TRAFFIC_POLICY_H_
--- a/src/libzinniastep/node/node.cc
+++ b/src/libzinniastep/node/node.cc
@@ -110,6 +110,9 @@
                           },
                           [&](const EvidenceMessage& message) {
                             rollouts.OnMessage(now, from, message, effects);
+                          },
+                          [](const GatewayMessage&) {
+                            // Hosts of a gateway fleet talk among themselves.
                           }},
                arrived.message);
   }
--- a/src/libzinniastep/runtime/log_writer.cc
+++ b/src/libzinniastep/runtime/log_writer.cc
@@ -3,16 +3,20 @@
 #include <algorithm>
 #include <iostream>
 #include <string_view>
+#include <utility>
 
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 
 namespace zinniastep {
 
@@ -47,15 +51,44 @@
   line.push_back('"');
 }
 
-}  // namespace
+// Hands formatted lines to a buffer.
+class BufferBackend : public logging::sinks::basic_formatted_sink_backend<
+                          char,
+                          logging::sinks::synchronized_feeding> {
+ public:
+  explicit BufferBackend(std::shared_ptr<LogBuffer> buffer)
+      : buffer_(std::move(buffer)) {}
 
-auto StartLog(const std::string& path) -> void {
+  auto consume(const logging::record_view& /*record*/,  // NOLINT
+               const std::string& line) -> void {
+    buffer_->Add(line);
+  }
+
+ private:
+  std::shared_ptr<LogBuffer> buffer_;
+};
+
+auto LineFormat() {
   namespace expr = logging::expressions;
-  const auto format = expr::stream
-                      << "time="
+  return expr::stream << "time="
                       << expr::format_date_time<boost::posix_time::ptime>(
                              "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                       << " " << expr::smessage;
+}
+
+}  // namespace
+
+auto StartLog(std::shared_ptr<LogBuffer> buffer) -> void {
+  using Sink = logging::sinks::synchronous_sink<BufferBackend>;
+  logging::add_common_attributes();
+  auto sink = boost::make_shared<Sink>(
+      boost::make_shared<BufferBackend>(std::move(buffer)));
+  sink->set_formatter(LineFormat());
+  logging::core::get()->add_sink(sink);
+}
+
+auto StartLog(const std::string& path) -> void {
+  const auto format = LineFormat();
   logging::add_common_attributes();
   if (path.empty()) {
     logging::add_console_log(std::clog, logging::keywords::format = format,
--- /dev/null
+++ b/src/libzinniastep/traffic/caller_connection.h
@@ -0,0 +1,119 @@
+#ifndef LIBZINNIASTEP_TRAFFIC_CALLER_CONNECTION_H_
+#define LIBZINNIASTEP_TRAFFIC_CALLER_CONNECTION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "libzinniastep/gateway/traffic_policy.h"
+
+namespace zinniastep {
+
+using CallerRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using WholeAnswer =
+    boost::beast::http::response<boost::beast::http::string_body>;
+using AnswerHead = boost::beast::http::response_header<>;
+
+// One caller's connection: it reads requests whole, one after the other, and
+// writes their answers in pieces. While an answer is awaited it goes on reading
+// to notice a caller who leaves. Used on the traffic thread only.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+ public:
+  using Handler = std::function<void(std::shared_ptr<CallerConnection>,
+                                     CallerRequest request)>;
+
+  CallerConnection(boost::asio::ip::tcp::socket socket,
+                   CallerLimits limits,
+                   Handler handler);
+
+  // Begins to read.
+  auto Start() -> void;
+
+  // Sets what is called when the caller leaves before the answer's end, and
+  // when all that was written has gone out.
+  auto Watch(std::function<void()> on_gone, std::function<void()> on_drained)
+      -> void;
+
+  // Writes a whole answer.
+  auto Answer(WholeAnswer answer) -> void;
+
+  // Writes an answer's head; its body follows by Write and ends with Finish.
+  // Unless the head has a length, the body goes out in chunks.
+  auto BeginAnswer(AnswerHead head) -> void;
+  auto Write(std::string_view bytes) -> void;
+  auto Finish() -> void;
+
+  // Closes the connection so that an unfinished answer cannot look complete.
+  auto BreakOff() -> void;
+
+  // Tells callers to go elsewhere after the answers under way.
+  auto BeginShutdown() -> void;
+  // Closes the connection if no request is under way.
+  auto CloseIfIdle() -> void;
+
+  // Bytes that wait to go out.
+  [[nodiscard]] auto unsent() const -> std::size_t { return unsent_; }
+  [[nodiscard]] auto closed() const -> bool { return closed_; }
+  [[nodiscard]] auto busy() const -> bool { return busy_; }
+  // When the request under way had been read whole.
+  [[nodiscard]] auto request_read() const
+      -> std::chrono::steady_clock::time_point {
+    return request_read_;
+  }
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  auto ReadMore() -> void;
+  auto OnReadEnd() -> void;
+  auto Parse() -> void;
+  auto OnRequest() -> void;
+  auto RejectRequest(boost::beast::http::status status) -> void;
+  auto Arm(Duration time) -> void;
+  auto Enqueue(std::string bytes) -> void;
+  auto WriteNext() -> void;
+  auto OnAnswerDone() -> void;
+  auto CloseGently() -> void;
+  auto Close() -> void;
+  auto SetConnectionHeader(AnswerHead& head) -> void;
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  CallerLimits limits_;
+  Handler handler_;
+  std::function<void()> on_gone_;
+  std::function<void()> on_drained_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::deque<std::string> outgoing_;
+  std::size_t unsent_ = 0;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool busy_ = false;
+  bool finished_ = false;
+  bool chunked_ = false;
+  bool keep_alive_ = true;
+  bool shutting_down_ = false;
+  bool continue_sent_ = false;
+  bool closing_ = false;
+  bool closed_ = false;
+  std::chrono::steady_clock::time_point request_read_;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_TRAFFIC_CALLER_CONNECTION_H_
--- /dev/null
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -0,0 +1,700 @@
+#include "libzinniastep/traffic/forwarder.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+#include "libzinniastep/base/hash.h"
+#include "libzinniastep/base/overloaded.h"
+#include "libzinniastep/gateway/model_ladder.h"
+#include "libzinniastep/traffic/http_text.h"
+#include "libzinniastep/traffic/traffic_engine.h"
+
+namespace zinniastep {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// A server that is reachable accepts within a round trip; a lost opening
+// packet is sent again after a second, which another server need not wait for.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
+// A request that no server may take now waits for this part of its target.
+constexpr int kServerWaitPart = 8;
+constexpr Duration kServerPoll = std::chrono::milliseconds(20);
+// A server with open requests and no byte for this long is taken for gone.
+// Engines make a step for all their requests within some tens of milliseconds.
+constexpr Duration kServerSilence = std::chrono::milliseconds(1500);
+constexpr Duration kSilencePoll = std::chrono::milliseconds(250);
+// An idempotent request is sent elsewhere when its answer has not begun after
+// this part of the target.
+constexpr double kSecondSendPart = 0.75;
+// Bytes of an answer that wait for a slow caller before the server is paused.
+constexpr std::size_t kMostUnsent = 65536;
+// Plain answers up to this size are kept whole until complete, so that a
+// broken one can be asked for again.
+constexpr std::size_t kMostHeldBody = std::size_t{1} << 20U;
+// Tokens of a prompt that an engine reads in a millisecond, for what a cached
+// part saves and what a prompt is expected to take.
+constexpr double kPromptTokensPerMs = 20.0;
+constexpr double kFirstEventMs = 40.0;
+// A long prompt may take this many times as long as expected before its first
+// byte: it waits for others' prompts.
+constexpr double kPromptPatience = 2.0;
+// Refused callers return after this, at random, so that they do not return
+// together.
+constexpr Duration kLeastReturn = std::chrono::milliseconds(200);
+constexpr Duration kReturnSpread = std::chrono::milliseconds(600);
+
+auto Milliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+auto ParseLoad(std::string_view text) -> std::optional<ServerLoad> {
+  std::array<std::uint32_t, 3> numbers{};
+  for (std::uint32_t& number : numbers) {
+    const auto comma = text.find(',');
+    const auto value = WholeNumber(text.substr(0, comma));
+    if (!value.has_value()) {
+      return std::nullopt;
+    }
+    number = static_cast<std::uint32_t>(*value);
+    text = comma == std::string_view::npos ? std::string_view()
+                                           : text.substr(comma + 1);
+  }
+  return ServerLoad{numbers[0], numbers[1], numbers[2]};
+}
+
+// Whether callers read the status as "not run".
+auto PromisesNotRun(unsigned status) -> bool {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+Forwarder::Forwarder(TrafficEngine& engine,
+                     std::shared_ptr<CallerConnection> caller,
+                     CallerRequest request)
+    : engine_(engine),
+      caller_(std::move(caller)),
+      request_(std::move(request)),
+      timer_(engine.io()) {}
+
+auto Forwarder::Header(std::string_view name) const -> std::string_view {
+  return HeaderValue(request_, name).value_or(std::string_view());
+}
+
+auto Forwarder::TimeLeft() const -> Duration {
+  return std::max(Duration(0), progress_.deadline - engine_.Now());
+}
+
+auto Forwarder::Begin() -> void {
+  began_ = engine_.Now();
+  attempt_id_ = std::string(Header(engine_.headers().attempt_id));
+  engine_.OnRequestBegun(shared_from_this());
+  caller_->Watch(
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnCallerGone();
+        }
+      },
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->connection_ != nullptr) {
+          self->connection_->Resume();
+        }
+      });
+  if (const unsigned status = FindPlace(); status != 0) {
+    if (status == 503) {
+      Refuse(engine_.is_refusing() ? "shutting_down" : "no_configuration");
+    } else {
+      Fail(status, status == 404 ? "no_route" : "unknown_key");
+    }
+    return;
+  }
+  SetDeadline();
+  prompt_ = ReadPromptShape(Header(engine_.headers().prompt_parts),
+                            Header(engine_.headers().token_counts));
+  ChooseService();
+  engine_.BudgetFor(service_).OnSuccess();
+  ArmTimer();
+  Dispatch();
+}
+
+auto Forwarder::FindPlace() -> unsigned {
+  policy_ = engine_.view().policy;
+  if (policy_ == nullptr || engine_.is_refusing()) {
+    return 503;
+  }
+  const std::string_view target = ToView(request_.target());
+  const std::string_view path = target.substr(0, target.find('?'));
+  std::string_view host = Header("Host");
+  route_ = policy_->FindRoute(host, path);
+  if (route_ == nullptr) {
+    host = host.substr(0, host.rfind(':'));
+    route_ = policy_->FindRoute(host, path);
+  }
+  if (route_ == nullptr) {
+    return 404;
+  }
+  if (!policy_->has_accounts()) {
+    return 0;
+  }
+  std::string_view key = Header("Authorization");
+  const std::string& scheme = engine_.headers().key_scheme;
+  if (key.starts_with(scheme)) {
+    account_ = policy_->FindAccount(key.substr(scheme.size()));
+  }
+  return account_ == nullptr && !route_->is_public ? 401 : 0;
+}
+
+auto Forwarder::SetDeadline() -> void {
+  Duration wait = route_->timeout;
+  const auto stated = WholeNumber(Header(engine_.headers().time_remaining));
+  if (stated.has_value()) {
+    wait = std::min<Duration>(wait, std::chrono::milliseconds(*stated));
+  }
+  progress_.deadline = began_ + wait;
+  progress_.repeat_rule = route_->repeat_rule;
+  progress_.resumable = route_->resumable;
+  progress_.most_servers = std::max(route_->most_servers, 1U);
+}
+
+auto Forwarder::ChooseService() -> void {
+  double total = 0.0;
+  for (const ServiceShare& share : route_->split) {
+    total += share.weight;
+  }
+  // Requests of a session stay together.
+  const std::uint64_t place =
+      prompt_.own != 0 ? prompt_.own : StableHash(attempt_id_);
+  double draw = static_cast<double>(StableHash(route_->name, place) >> 11U) *
+                0x1.0p-53 * total;
+  for (const ServiceShare& share : route_->split) {
+    service_ = share.service;
+    draw -= share.weight;
+    if (draw < 0.0) {
+      break;
+    }
+  }
+  names_model_ =
+      !route_->models.empty() && Header(engine_.headers().model) == "*";
+  if (names_model_) {
+    model_ = FirstModel({route_->models.size(),
+                         engine_.chooser().Utilization(began_, service_),
+                         progress_.most_servers});
+  }
+}
+
+auto Forwarder::Dispatch() -> void {
+  const Instant now = engine_.Now();
+  ServerNeed need;
+  need.service = service_;
+  if (prompt_.shared != 0) {
+    need.affinity =
+        StableHash(names_model_ ? std::string_view(route_->models[model_])
+                                : Header(engine_.headers().model),
+                   prompt_.shared);
+    need.affinity_gain_ms = prompt_.shared_tokens / kPromptTokensPerMs;
+  }
+  need.session = prompt_.own != 0 ? prompt_.own : StableHash(attempt_id_);
+  need.regions = route_->home_regions;
+  if (account_ != nullptr) {
+    need.account_regions = account_->home_regions;
+  }
+  need.tried = tried_;
+  const UsableBackend* backend = engine_.chooser().Choose(now, need);
+  if (backend != nullptr) {
+    waiting_for_server_ = false;
+    Send(*backend);
+    return;
+  }
+  if (!waiting_for_server_) {
+    waiting_for_server_ = true;
+    no_server_since_ = now;
+  }
+  WaitForServer();
+}
+
+auto Forwarder::WaitForServer() -> void {
+  const Instant now = engine_.Now();
+  const Duration most =
+      std::min<Duration>(route_->target_latency / kServerWaitPart, TimeLeft());
+  if (now - no_server_since_ < most) {
+    ArmTimer();
+    return;
+  }
+  waiting_for_server_ = false;
+  if (answer_begun_) {
+    TakeStep(BreakOff{});
+  } else if (progress_.may_have_run) {
+    TakeStep(ReportUnknown{});
+  } else {
+    Refuse("no_server");
+  }
+}
+
+auto Forwarder::RequestText(const UsableBackend& backend) -> std::string {
+  const ForwardingHeaders& names = engine_.headers();
+  http::request_header<> head;
+  head.method_string(request_.method_string());
+  head.target(request_.target());
+  head.version(11);
+  for (const auto& field : request_) {
+    const std::string_view name = ToView(field.name_string());
+    const bool is_reserved = std::ranges::any_of(
+        names.reserved,
+        [name](const std::string& known) { return SameName(known, name); });
+    if (is_reserved || IsHopByHop(request_, name) ||
+        SameName(name, "Content-Length") || SameName(name, "Authorization") ||
+        SameName(name, names.time_remaining) ||
+        (names_model_ && SameName(name, names.model)) ||
+        (last_event_.has_value() && SameName(name, names.last_event_id))) {
+      continue;
+    }
+    head.insert(field.name_string(), field.value());
+  }
+  const auto set = [&head](const std::string& name, std::string_view value) {
+    head.set(name, FromView(value));
+  };
+  set(names.time_remaining, std::to_string(Milliseconds(TimeLeft())));
+  set(names.expected_server, backend.entry.id.text());
+  if (account_ != nullptr) {
+    set(names.account, account_->id.text());
+  }
+  if (names_model_) {
+    set(names.model, route_->models[model_]);
+  }
+  if (last_event_.has_value()) {
+    set(names.last_event_id, std::to_string(*last_event_));
+  }
+  if (prompt_.prompt_tokens > 0.0) {
+    const std::uint32_t priority =
+        account_ != nullptr && account_->priority.has_value()
+            ? *account_->priority
+            : route_->priority;
+    set(names.urgency, std::to_string(EngineUrgency(priority)));
+  }
+  if (!request_.body().empty() || Header("Content-Length") == "0") {
+    set("Content-Length", std::to_string(request_.body().size()));
+  }
+  return HeadText(head) + request_.body();
+}
+
+auto Forwarder::Send(const UsableBackend& backend) -> void {
+  const Reuse reuse =
+      progress_.repeat_rule == RepeatRule::kIdempotent || progress_.resumable
+          ? Reuse::kAllowed
+          : Reuse::kForbidden;
+  connection_ = engine_.pool().Take(backend.entry.address, reuse);
+  if (connection_ == nullptr) {
+    engine_.Log({"address_malformed",
+                 {{"request", attempt_id_},
+                  {"server", backend.entry.id.text()},
+                  {"address", backend.entry.address}}});
+    tried_.push_back(backend.entry.id);
+    progress_.futile_sends += 1;
+    TakeStep(DecideNext(engine_.Now(), progress_, SendOutcome::kNotSent, true));
+    return;
+  }
+  server_ = backend.entry;
+  tried_.push_back(server_->id);
+  sent_at_ = engine_.Now();
+  last_bytes_ = sent_at_;
+  head_at_.reset();
+  not_run_ = misdirected_ = server_failed_ = is_stream_ = false;
+  body_.clear();
+  events_.Reset();
+  engine_.chooser().OnBegin(server_->id);
+  engine_.Log({"request_sent",
+               {{"request", attempt_id_},
+                {"route", route_->name},
+                {"server", server_->id.text()},
+                {"server_version", server_->version},
+                {"model", names_model_ ? route_->models[model_] : ""},
+                {"policy", std::to_string(policy_->version())},
+                {"send", std::to_string(tried_.size())},
+                {"left_ms", std::to_string(Milliseconds(TimeLeft()))}}});
+  connection_->Send(RequestText(backend), attempt_id_, kConnectTimeout,
+                    shared_from_this());
+  ArmTimer();
+}
+
+auto Forwarder::OnHead(const AnswerHead& head) -> void {
+  const Instant now = engine_.Now();
+  head_at_ = now;
+  last_bytes_ = now;
+  head_ = head;
+  engine_.chooser().OnProgress(now, server_->id);
+  const ForwardingHeaders& names = engine_.headers();
+  if (const auto load = HeaderValue(head, names.server_load)) {
+    if (const auto parsed = ParseLoad(*load)) {
+      engine_.chooser().OnLoad(now, server_->id, *parsed);
+    }
+  }
+  const unsigned status = head.result_int();
+  misdirected_ = status == 421;
+  not_run_ =
+      misdirected_ || (HeaderValue(head, names.not_executed).has_value() &&
+                       PromisesNotRun(status));
+  server_failed_ = !not_run_ && (status >= 500 || PromisesNotRun(status));
+  const auto type = HeaderValue(head, "Content-Type");
+  is_stream_ = route_->streaming && status < 300 &&
+               type.value_or("").starts_with("text/event-stream");
+  if (!not_run_) {
+    progress_.may_have_run = true;
+  }
+  if (is_stream_ && names_model_ && !answer_begun_) {
+    Escalate();
+  }
+}
+
+auto Forwarder::Escalate() -> bool {
+  const auto opinion = HeaderValue(head_, engine_.headers().confidence);
+  const auto confidence = WholeNumber(opinion.value_or(""));
+  if (!confidence.has_value() ||
+      progress_.servers_used + 1 >= progress_.most_servers) {
+    return false;
+  }
+  const LadderState state{
+      route_->models.size(),
+      engine_.chooser().Utilization(engine_.Now(), service_),
+      progress_.most_servers - progress_.servers_used - 1};
+  const auto next =
+      NextModel(state, model_, static_cast<std::uint32_t>(*confidence));
+  if (!next.has_value() || !engine_.BudgetFor(service_).TrySpend()) {
+    return false;
+  }
+  engine_.Log({"request_escalated",
+               {{"request", attempt_id_},
+                {"model", route_->models[model_]},
+                {"confidence", std::to_string(*confidence)},
+                {"next", route_->models[*next]}}});
+  FinishAttempt(SendOutcome::kAnswered);
+  progress_.servers_used += 1;
+  model_ = *next;
+  tried_.clear();
+  Dispatch();
+  return true;
+}
+
+auto Forwarder::OnBody(std::string_view bytes) -> void {
+  if (over_ || server_ == std::nullopt) {
+    return;
+  }
+  last_bytes_ = engine_.Now();
+  engine_.chooser().OnProgress(last_bytes_, server_->id);
+  if (is_stream_) {
+    TakeEvents(bytes);
+    return;
+  }
+  if (answer_begun_) {
+    caller_->Write(bytes);
+  } else {
+    body_.append(bytes);
+    if (!not_run_ && !server_failed_ && body_.size() > kMostHeldBody) {
+      answer_begun_ = true;
+      progress_.caller_has_bytes = true;
+      AnswerHead head = head_;
+      EraseHopByHop(head);
+      caller_->BeginAnswer(std::move(head));
+      caller_->Write(body_);
+      body_.clear();
+    }
+  }
+  if (connection_ != nullptr && caller_->unsent() > kMostUnsent) {
+    connection_->Pause();
+  }
+}
+
+auto Forwarder::TakeEvents(std::string_view bytes) -> void {
+  events_.Add(bytes);
+  while (auto event = events_.Next()) {
+    if (event->id.has_value() && last_event_.has_value() &&
+        *event->id <= *last_event_) {
+      continue;
+    }
+    if (!answer_begun_) {
+      answer_begun_ = true;
+      progress_.caller_has_bytes = true;
+      AnswerHead head = head_;
+      EraseHopByHop(head);
+      head.erase(http::field::content_length);
+      caller_->BeginAnswer(std::move(head));
+      engine_.metrics().Observe("first_event", engine_.Now() - began_);
+    }
+    caller_->Write(event->text);
+    ++events_passed_;
+    if (event->id.has_value()) {
+      last_event_ = event->id;
+    }
+  }
+  if (connection_ != nullptr && caller_->unsent() > kMostUnsent) {
+    connection_->Pause();
+  }
+}
+
+auto Forwarder::OnEnd(ExchangeEnd end) -> void {
+  if (over_ || !server_.has_value()) {
+    return;
+  }
+  switch (end) {
+    case ExchangeEnd::kNotSent:
+      OnAttemptOver(SendOutcome::kNotSent);
+      return;
+    case ExchangeEnd::kBroken:
+      OnAttemptOver(SendOutcome::kBroken);
+      return;
+    case ExchangeEnd::kWhole:
+      break;
+  }
+  if (misdirected_) {
+    OnAttemptOver(SendOutcome::kMisdirected);
+  } else if (not_run_) {
+    OnAttemptOver(SendOutcome::kDeclined);
+  } else if (server_failed_) {
+    OnAttemptOver(SendOutcome::kServerFailure);
+  } else if (is_stream_) {
+    OnStreamEnd();
+  } else {
+    AnswerWhole();
+  }
+}
+
+auto Forwarder::OnStreamEnd() -> void {
+  if (events_.has_part()) {
+    OnAttemptOver(SendOutcome::kBroken);
+    return;
+  }
+  CountEvidence(false);
+  FinishAttempt(SendOutcome::kAnswered);
+  if (!answer_begun_) {
+    AnswerHead head = head_;
+    EraseHopByHop(head);
+    head.erase(http::field::content_length);
+    caller_->BeginAnswer(std::move(head));
+  }
+  caller_->Finish();
+  Over("answered", head_.result_int());
+}
+
+auto Forwarder::AnswerWhole() -> void {
+  CountEvidence(false);
+  FinishAttempt(SendOutcome::kAnswered);
+  if (answer_begun_) {
+    caller_->Finish();
+  } else {
+    EraseHopByHop(head_);
+    head_.erase(http::field::content_length);
+    WholeAnswer answer(head_);
+    answer.body() = std::move(body_);
+    caller_->Answer(std::move(answer));
+  }
+  Over("answered", head_.result_int());
+}
+
+auto Forwarder::FinishAttempt(SendOutcome outcome) -> void {
+  const Instant now = engine_.Now();
+  engine_.chooser().OnEnd(now, server_->id);
+  engine_.chooser().OnOutcome(now, server_->id, outcome);
+  if (connection_ != nullptr) {
+    engine_.pool().Return(server_->address, std::move(connection_));
+    connection_ = nullptr;
+  }
+  server_.reset();
+}
+
+auto Forwarder::OnAttemptOver(SendOutcome outcome) -> void {
+  if (outcome == SendOutcome::kServerFailure) {
+    CountEvidence(true);
+  }
+  const bool reached =
+      outcome != SendOutcome::kNotSent && outcome != SendOutcome::kMisdirected;
+  if (reached) {
+    progress_.servers_used += 1;
+  } else {
+    progress_.futile_sends += 1;
+  }
+  if (reached && outcome != SendOutcome::kDeclined) {
+    progress_.may_have_run = true;
+  }
+  const Instant now = engine_.Now();
+  RetryBudget& budget = engine_.BudgetFor(service_);
+  const bool may_repeat = progress_.servers_used == 0 || budget.left() >= 1.0;
+  const NextStep step = DecideNext(now, progress_, outcome, may_repeat);
+  const bool tries_another = std::holds_alternative<TryAnother>(step);
+  if (tries_another && progress_.servers_used > 0) {
+    (void)budget.TrySpend();
+  }
+  engine_.Log({"send_failed",
+               {{"request", attempt_id_},
+                {"server", server_->id.text()},
+                {"outcome", std::string(ToString(outcome))},
+                {"status", std::to_string(head_at_ ? head_.result_int() : 0)},
+                {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
+                {"events", std::to_string(events_passed_)},
+                {"next", tries_another ? "another" : "give_up"}}});
+  FinishAttempt(outcome);
+  TakeStep(step);
+}
+
+auto Forwarder::TakeStep(const NextStep& step) -> void {
+  std::visit(
+      Overloaded{[this](const TryAnother&) { Dispatch(); },
+                 [this](const PassServerFailure&) {
+                   if (PromisesNotRun(head_.result_int())) {
+                     // It ran, which the status would deny.
+                     Fail(502, "server_failure");
+                     return;
+                   }
+                   EraseHopByHop(head_);
+                   head_.erase(http::field::content_length);
+                   WholeAnswer answer(head_);
+                   answer.body() = std::move(body_);
+                   caller_->Answer(std::move(answer));
+                   Over("server_failure", head_.result_int());
+                 },
+                 [this](const RefuseNotRun&) { Refuse("servers_declined"); },
+                 [this](const ReportUnknown& unknown) {
+                   Fail(unknown.timed_out ? 504 : 502,
+                        unknown.timed_out ? "timed_out" : "outcome_unknown");
+                 },
+                 [this](const BreakOff&) {
+                   caller_->BreakOff();
+                   Over("broken_off", 0);
+                 }},
+      step);
+}
+
+auto Forwarder::Refuse(std::string_view reason) -> void {
+  WholeAnswer answer(http::status::service_unavailable, 11);
+  const Duration longest =
+      route_ == nullptr ? kLeastReturn + kReturnSpread : TimeLeft() / 3;
+  const Duration back =
+      std::min(longest, kLeastReturn + std::chrono::duration_cast<Duration>(
+                                           kReturnSpread * engine_.Draw()));
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f",
+                std::chrono::duration<double>(back).count());
+  answer.set(http::field::retry_after, text);
+  caller_->Answer(std::move(answer));
+  Over(reason, 503);
+}
+
+auto Forwarder::Fail(unsigned status, std::string_view reason) -> void {
+  caller_->Answer(WholeAnswer(static_cast<http::status>(status), 11));
+  Over(reason, status);
+}
+
+auto Forwarder::OnCallerGone() -> void {
+  if (over_) {
+    return;
+  }
+  if (server_.has_value()) {
+    engine_.chooser().OnEnd(engine_.Now(), server_->id);
+    connection_->Cancel();
+    connection_ = nullptr;
+    server_.reset();
+  }
+  Over("caller_left", 0);
+}
+
+auto Forwarder::ArmTimer() -> void {
+  const Instant now = engine_.Now();
+  Instant next = progress_.deadline;
+  if (waiting_for_server_) {
+    next = std::min(next, now + kServerPoll);
+  } else if (server_.has_value() && progress_.resumable) {
+    next = std::min(next, now + kSilencePoll);
+  } else if (server_.has_value() && !head_at_.has_value() &&
+             progress_.repeat_rule == RepeatRule::kIdempotent) {
+    next = std::min(next,
+                    sent_at_ + std::chrono::duration_cast<Duration>(
+                                   route_->target_latency * kSecondSendPart));
+  }
+  timer_.expires_after(std::max(next - now, Duration(1000)));
+  timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    if (!ec && !self->over_) {
+      self->OnTimer();
+    }
+  });
+}
+
+auto Forwarder::OnTimer() -> void {
+  const Instant now = engine_.Now();
+  if (now >= progress_.deadline) {
+    if (server_.has_value()) {
+      progress_.may_have_run = true;
+      OnAttemptOver(SendOutcome::kSilent);
+    } else {
+      waiting_for_server_ = false;
+      TakeStep(answer_begun_            ? NextStep(BreakOff{})
+               : progress_.may_have_run ? NextStep(ReportUnknown{true})
+                                        : NextStep(RefuseNotRun{}));
+    }
+    return;
+  }
+  if (waiting_for_server_) {
+    Dispatch();
+    return;
+  }
+  if (server_.has_value()) {
+    Duration patience = kServerSilence;
+    if (!head_at_.has_value()) {
+      patience += std::chrono::milliseconds(static_cast<std::int64_t>(
+          kPromptPatience * prompt_.prompt_tokens / kPromptTokensPerMs));
+    }
+    const bool stream_silent =
+        progress_.resumable && now - last_bytes_ >= patience &&
+        engine_.chooser().IsSilent(now, server_->id, kServerSilence);
+    const bool answer_late =
+        !progress_.resumable && !head_at_.has_value() &&
+        progress_.repeat_rule == RepeatRule::kIdempotent &&
+        now - sent_at_ >= std::chrono::duration_cast<Duration>(
+                              route_->target_latency * kSecondSendPart) &&
+        progress_.servers_used + 1 < progress_.most_servers;
+    if (stream_silent || answer_late) {
+      connection_->Cancel();
+      OnAttemptOver(SendOutcome::kSilent);
+      return;
+    }
+  }
+  ArmTimer();
+}
+
+auto Forwarder::CountEvidence(bool failed) -> void {
+  VersionCounts counts;
+  counts.answers = 1;
+  counts.failures = failed ? 1 : 0;
+  if (!failed && head_at_.has_value()) {
+    const double took = static_cast<double>(Milliseconds(*head_at_ - sent_at_));
+    const double expected =
+        kFirstEventMs + prompt_.prompt_tokens / kPromptTokensPerMs;
+    counts.timed = 1;
+    counts.log_slowness = std::log((took + 1.0) / expected);
+  }
+  engine_.AddEvidence({service_, server_->version, route_->name}, counts);
+}
+
+auto Forwarder::Over(std::string_view outcome, unsigned status) -> void {
+  over_ = true;
+  timer_.cancel();
+  const Duration total = engine_.Now() - began_;
+  engine_.metrics().Count("requests_" + std::string(outcome));
+  engine_.metrics().Observe("request", total);
+  engine_.Log({"request_over",
+               {{"request", attempt_id_},
+                {"route", route_ == nullptr ? "" : route_->name},
+                {"account", account_ == nullptr ? "" : account_->id.text()},
+                {"outcome", std::string(outcome)},
+                {"status", std::to_string(status)},
+                {"sends", std::to_string(tried_.size())},
+                {"events", std::to_string(events_passed_)},
+                {"took_ms", std::to_string(Milliseconds(total))}}});
+  engine_.OnRequestOver(shared_from_this());
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -0,0 +1,111 @@
+#ifndef LIBZINNIASTEP_TRAFFIC_FORWARDER_H_
+#define LIBZINNIASTEP_TRAFFIC_FORWARDER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "libzinniastep/base/time.h"
+#include "libzinniastep/gateway/forward_decision.h"
+#include "libzinniastep/gateway/prompt_shape.h"
+#include "libzinniastep/gateway/server_chooser.h"
+#include "libzinniastep/gateway/traffic_policy.h"
+#include "libzinniastep/traffic/caller_connection.h"
+#include "libzinniastep/traffic/event_splitter.h"
+#include "libzinniastep/traffic/server_connection.h"
+
+namespace zinniastep {
+
+class TrafficEngine;
+
+// Carries one caller's request: finds its route and account, sends it to
+// backend servers as the decisions say, and hands the answer on. Used on the
+// traffic thread only.
+class Forwarder : public ServerExchange,
+                  public std::enable_shared_from_this<Forwarder> {
+ public:
+  Forwarder(TrafficEngine& engine,
+            std::shared_ptr<CallerConnection> caller,
+            CallerRequest request);
+
+  // Begins; the forwarder keeps itself until the request is over.
+  auto Begin() -> void;
+
+  auto OnHead(const AnswerHead& head) -> void override;
+  auto OnBody(std::string_view bytes) -> void override;
+  auto OnEnd(ExchangeEnd end) -> void override;
+
+ private:
+  // What is wrong with the request itself, or zero.
+  auto FindPlace() -> unsigned;
+  auto SetDeadline() -> void;
+  auto ChooseService() -> void;
+  auto Dispatch() -> void;
+  auto WaitForServer() -> void;
+  auto Send(const UsableBackend& backend) -> void;
+  auto RequestText(const UsableBackend& backend) -> std::string;
+  auto OnAttemptOver(SendOutcome outcome) -> void;
+  auto FinishAttempt(SendOutcome outcome) -> void;
+  auto TakeStep(const NextStep& step) -> void;
+  auto Escalate() -> bool;
+  auto TakeEvents(std::string_view bytes) -> void;
+  auto OnStreamEnd() -> void;
+  auto AnswerWhole() -> void;
+  auto Refuse(std::string_view reason) -> void;
+  auto Fail(unsigned status, std::string_view reason) -> void;
+  auto OnCallerGone() -> void;
+  auto OnTimer() -> void;
+  auto ArmTimer() -> void;
+  auto Over(std::string_view outcome, unsigned status) -> void;
+  auto CountEvidence(bool failed) -> void;
+  [[nodiscard]] auto Header(std::string_view name) const -> std::string_view;
+  [[nodiscard]] auto TimeLeft() const -> Duration;
+
+  TrafficEngine& engine_;
+  std::shared_ptr<CallerConnection> caller_;
+  CallerRequest request_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<const TrafficPolicy> policy_;
+  const ForwardingRoute* route_ = nullptr;
+  const ForwardingAccount* account_ = nullptr;
+  ServiceId service_;
+  std::string attempt_id_;
+  PromptShape prompt_;
+  // Whether this host names the model, and which of the route's.
+  bool names_model_ = false;
+  std::size_t model_ = 0;
+  ForwardProgress progress_;
+  Instant began_;
+  Instant no_server_since_;
+  bool waiting_for_server_ = false;
+  std::vector<BackendServerId> tried_;
+
+  // The send under way.
+  std::optional<BackendEntry> server_;
+  std::shared_ptr<ServerConnection> connection_;
+  Instant sent_at_;
+  std::optional<Instant> head_at_;
+  Instant last_bytes_;
+  AnswerHead head_;
+  bool not_run_ = false;
+  bool misdirected_ = false;
+  bool server_failed_ = false;
+  bool is_stream_ = false;
+  std::string body_;
+
+  // The answer as the caller sees it.
+  bool answer_begun_ = false;
+  EventSplitter events_;
+  std::optional<std::uint64_t> last_event_;
+  std::uint64_t events_passed_ = 0;
+  bool over_ = false;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_TRAFFIC_FORWARDER_H_
--- /dev/null
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -0,0 +1,311 @@
+#include "libzinniastep/traffic/gateway_daemon.h"
+
+#include <chrono>
+#include <future>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "libzinniastep/base/hash.h"
+#include "libzinniastep/base/overloaded.h"
+#include "libzinniastep/runtime/log_writer.h"
+
+namespace zinniastep {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// The control core's clock. Its periods are several times as long.
+constexpr Duration kControlTick = std::chrono::milliseconds(100);
+constexpr Duration kTrafficTick = std::chrono::milliseconds(250);
+// After the signal callers learn from the directory that this host leaves;
+// until then it takes new connections.
+constexpr Duration kAcceptAfterSignal = std::chrono::milliseconds(2500);
+// The process ends this long before its time is over.
+constexpr Duration kExitReserve = std::chrono::milliseconds(500);
+constexpr Duration kShutdownPoll = std::chrono::milliseconds(50);
+
+auto SteadyInstant() -> Instant {
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+auto IdentityOf(const GatewaySettings& settings, Incarnation incarnation)
+    -> HostIdentity {
+  return {settings.host,           incarnation,     settings.peer_address,
+          settings.caller_address, settings.domain, settings.region};
+}
+
+}  // namespace
+
+auto GatewayDaemon::Start(const GatewaySettings& settings,
+                          PlatformBinding binding,
+                          Incarnation incarnation,
+                          std::shared_ptr<LogBuffer> log)
+    -> absl::StatusOr<std::unique_ptr<GatewayDaemon>> {
+  auto daemon = std::make_unique<GatewayDaemon>(settings, std::move(binding),
+                                                incarnation, std::move(log));
+  if (const absl::Status status = daemon->Listen(); !status.ok()) {
+    return status;
+  }
+  daemon->Run();
+  return daemon;
+}
+
+GatewayDaemon::GatewayDaemon(const GatewaySettings& settings,
+                             PlatformBinding binding,
+                             Incarnation incarnation,
+                             std::shared_ptr<LogBuffer> log)
+    : settings_(settings),
+      binding_(std::move(binding)),
+      self_(IdentityOf(settings, incarnation)),
+      log_(std::move(log)),
+      codec_(settings.signing_keys),
+      control_work_(control_io_.get_executor()),
+      traffic_work_(traffic_io_.get_executor()),
+      control_timer_(control_io_),
+      traffic_timer_(traffic_io_),
+      core_(self_, settings, binding_.decoders, incarnation),
+      engine_(
+          traffic_io_,
+          settings,
+          binding_.headers,
+          metrics_,
+          [this](const LogEvent& event) { Write(event); },
+          StableHash(settings.host.text(), incarnation)) {}
+
+GatewayDaemon::~GatewayDaemon() {
+  // What brings events in ends first, then the threads, then the rest.
+  peers_.reset();
+  store_loop_.reset();
+  control_work_.reset();
+  traffic_work_.reset();
+  control_io_.stop();
+  traffic_io_.stop();
+  if (control_thread_.joinable()) {
+    control_thread_.join();
+  }
+  if (traffic_thread_.joinable()) {
+    traffic_thread_.join();
+  }
+}
+
+auto GatewayDaemon::Listen() -> absl::Status {
+  const auto limits = [this] { return engine_.Limits(); };
+  const auto listen = [&](std::unique_ptr<HttpListener>& listener,
+                          const std::string& address,
+                          CallerConnection::Handler handler) -> absl::Status {
+    auto started =
+        HttpListener::Start(traffic_io_, address, limits, std::move(handler));
+    if (!started.ok()) {
+      return absl::UnavailableError(address + ": " +
+                                    std::string(started.status().message()));
+    }
+    listener = *std::move(started);
+    return absl::OkStatus();
+  };
+  absl::Status status = listen(
+      callers_, settings_.caller_address,
+      [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
+        engine_.OnRequest(std::move(caller), std::move(request));
+      });
+  status.Update(listen(
+      ready_, settings_.ready_address,
+      [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
+        caller->Answer(
+            binding_.answer_ready(request, engine_.is_ready() && !leaving_));
+      }));
+  status.Update(listen(
+      directory_, settings_.directory_address,
+      [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
+        caller->Answer(binding_.answer_directory(
+            request, engine_.view(), settings_.longest_address_lifetime));
+      }));
+  if (!settings_.metrics_address.empty()) {
+    status.Update(
+        listen(metrics_listener_, settings_.metrics_address,
+               [this](std::shared_ptr<CallerConnection> caller, CallerRequest) {
+                 WholeAnswer answer(http::status::ok, 11);
+                 answer.set(http::field::content_type, "text/plain");
+                 answer.body() = metrics_.Text();
+                 caller->Answer(std::move(answer));
+               }));
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  auto peers = PeerTransport::Listen(
+      settings_.peer_address,
+      [this](std::string_view bytes) { OnPeerBytes(bytes); });
+  if (!peers.ok()) {
+    return peers.status();
+  }
+  peers_ = *std::move(peers);
+  return absl::OkStatus();
+}
+
+auto GatewayDaemon::Run() -> void {
+  store_loop_ = std::make_unique<HttpLoop>();
+  store_ = binding_.make_store(settings_, *store_loop_);
+  asio::post(control_io_, [this] { TickControl(); });
+  asio::post(traffic_io_, [this] { TickTraffic(); });
+  control_thread_ = std::thread([this] { control_io_.run(); });
+  traffic_thread_ = std::thread([this] { traffic_io_.run(); });
+}
+
+auto GatewayDaemon::TickControl() -> void {
+  control_timer_.expires_after(kControlTick);
+  control_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      TickControl();
+    }
+  });
+  Do(core_.OnTime(SteadyInstant()));
+  log_->Flush();
+}
+
+auto GatewayDaemon::TickTraffic() -> void {
+  traffic_timer_.expires_after(kTrafficTick);
+  traffic_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      TickTraffic();
+    }
+  });
+  engine_.Sweep();
+  auto rows = engine_.TakeEvidence();
+  if (!rows.empty()) {
+    asio::post(control_io_, [this, rows = std::move(rows)] {
+      Do(core_.OnEvidence(SteadyInstant(), rows));
+    });
+  }
+}
+
+auto GatewayDaemon::OnPeerBytes(std::string_view bytes) -> void {
+  auto envelope = codec_.Decode(bytes);
+  if (!envelope.ok()) {
+    metrics_.Count("peer_messages_rejected");
+    return;
+  }
+  asio::post(control_io_, [this, message = *std::move(envelope)] {
+    Do(core_.OnPeerMessage(
+        SteadyInstant(),
+        PeerRef{message.from, message.incarnation, message.address},
+        message.message));
+  });
+}
+
+auto GatewayDaemon::Write(const LogEvent& event) -> void {
+  WriteLog(event);
+}
+
+auto GatewayDaemon::Do(std::vector<GatewayAction> actions) -> void {
+  for (const GatewayAction& action : actions) {
+    std::visit([this](const auto& specific) { Execute(specific); }, action);
+  }
+}
+
+auto GatewayDaemon::Execute(const ListRecords& action) -> void {
+  metrics_.Count("store_lists");
+  store_->List(action, [this, kind = action.kind](RecordReadResult result) {
+    asio::post(control_io_, [this, kind, result = std::move(result)] {
+      Do(core_.OnRead(SteadyInstant(), kind, result));
+    });
+  });
+}
+
+auto GatewayDaemon::Execute(const WatchRecords& action) -> void {
+  metrics_.Count("store_watches");
+  store_->Watch(action, [this, kind = action.kind](RecordReadResult result) {
+    asio::post(control_io_, [this, kind, result = std::move(result)] {
+      Do(core_.OnRead(SteadyInstant(), kind, result));
+    });
+  });
+}
+
+auto GatewayDaemon::Execute(const RolloutStatusWrite& action) -> void {
+  metrics_.Count("store_writes");
+  store_->WriteStatus(action, [this, name = action.name](WriteOutcome outcome) {
+    asio::post(control_io_, [this, name, outcome] {
+      Do(core_.OnStatusWritten(SteadyInstant(), name, outcome));
+    });
+  });
+}
+
+auto GatewayDaemon::Execute(const RegisterHost& action) -> void {
+  metrics_.Count("store_writes");
+  store_->Register(action.identity, [this](WriteOutcome outcome) {
+    asio::post(control_io_, [this, outcome] {
+      Do(core_.OnRegistered(SteadyInstant(), outcome));
+    });
+  });
+}
+
+auto GatewayDaemon::Execute(const ReadHostList& /*action*/) -> void {
+  metrics_.Count("store_lists");
+  store_->ReadHosts([this](HostListRead list) {
+    asio::post(control_io_, [this, list = std::move(list)] {
+      Do(core_.OnHostList(SteadyInstant(), list));
+    });
+  });
+}
+
+auto GatewayDaemon::Execute(const PublishView& action) -> void {
+  asio::post(traffic_io_,
+             [this, view = action.view] { engine_.SetView(view); });
+}
+
+auto GatewayDaemon::Execute(const SendToPeer& action) -> void {
+  metrics_.Count("peer_messages_sent");
+  peers_->Send(action.address,
+               codec_.Encode({self_.host, self_.incarnation, self_.peer_address,
+                              action.message}));
+}
+
+auto GatewayDaemon::Execute(const LogEvent& action) -> void {
+  Write(action);
+}
+
+auto GatewayDaemon::OnReload(const GatewaySettings& settings) -> void {
+  Write({"settings_read", {{"host", settings.host.text()}}});
+}
+
+auto GatewayDaemon::WaitForRequests(std::chrono::steady_clock::time_point until)
+    -> void {
+  while (std::chrono::steady_clock::now() < until) {
+    std::promise<std::size_t> busy;
+    asio::post(traffic_io_, [this, &busy] {
+      callers_->CloseIdle();
+      busy.set_value(engine_.active());
+    });
+    if (busy.get_future().get() == 0) {
+      return;
+    }
+    std::this_thread::sleep_for(kShutdownPoll);
+  }
+}
+
+auto GatewayDaemon::ShutDown() -> void {
+  const auto signalled = std::chrono::steady_clock::now();
+  const auto deadline = signalled + settings_.shutdown_time - kExitReserve;
+  leaving_ = true;
+  Write({"shutdown_begins", {{"host", self_.host.text()}}});
+  asio::post(control_io_, [this] { Do(core_.BeginShutdown(SteadyInstant())); });
+  asio::post(traffic_io_, [this] { callers_->BeginShutdown(); });
+  std::this_thread::sleep_for(
+      std::min<Duration>(kAcceptAfterSignal, settings_.shutdown_time / 3));
+  asio::post(traffic_io_, [this] {
+    callers_->Close();
+    engine_.RefuseNew();
+  });
+  WaitForRequests(deadline);
+  Write({"shutdown_complete",
+         {{"took_ms",
+           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                              std::chrono::steady_clock::now() - signalled)
+                              .count())}}});
+  log_->Flush();
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/traffic/http_listener.h
@@ -0,0 +1,66 @@
+#ifndef LIBZINNIASTEP_TRAFFIC_HTTP_LISTENER_H_
+#define LIBZINNIASTEP_TRAFFIC_HTTP_LISTENER_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "libzinniastep/traffic/caller_connection.h"
+
+namespace zinniastep {
+
+// Accepts connections at one address and reads requests on them. Used on one
+// thread only.
+class HttpListener {
+ public:
+  // Returns what callers may send now; asked for each new connection.
+  using LimitsSource = std::function<CallerLimits()>;
+
+  // Binds a numeric "address:port" and begins to accept.
+  static auto Start(boost::asio::io_context& io,
+                    std::string_view address,
+                    LimitsSource limits,
+                    CallerConnection::Handler handler)
+      -> absl::StatusOr<std::unique_ptr<HttpListener>>;
+
+  HttpListener(boost::asio::io_context& io,
+               LimitsSource limits,
+               CallerConnection::Handler handler);
+
+  // Accepts no further connections.
+  auto Close() -> void;
+
+  // Tells callers on open connections to go elsewhere after their answers.
+  auto BeginShutdown() -> void;
+
+  // Closes the connections without a request under way.
+  auto CloseIdle() -> void;
+
+  // Connections that are open.
+  [[nodiscard]] auto open() -> std::size_t;
+
+  // The bound port.
+  [[nodiscard]] auto port() const -> std::uint16_t;
+
+ private:
+  auto Listen(const boost::asio::ip::tcp::endpoint& endpoint) -> absl::Status;
+  auto Accept() -> void;
+  auto Prune() -> void;
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_pause_;
+  LimitsSource limits_;
+  CallerConnection::Handler handler_;
+  std::vector<std::weak_ptr<CallerConnection>> connections_;
+  bool shutting_down_ = false;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_TRAFFIC_HTTP_LISTENER_H_
--- /dev/null
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -0,0 +1,286 @@
+#include "libzinniastep/traffic/server_connection.h"
+
+#include <netinet/tcp.h>
+
+#include <limits>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/write.hpp>
+
+#include "libzinniastep/traffic/http_text.h"
+
+namespace zinniastep {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadSize = 8192;
+constexpr std::uint32_t kLongestHead = 32768;
+// Bytes that the network holds back for longer than this are taken for lost.
+constexpr int kUnsentTimeoutMs = 2500;
+// Idle connections are not kept longer, and less when the server says so.
+constexpr std::chrono::milliseconds kLongestIdle(4000);
+constexpr std::chrono::milliseconds kIdleReserve(700);
+
+auto IdleTime(const AnswerHead& head) -> std::chrono::milliseconds {
+  const auto header = HeaderValue(head, "Keep-Alive");
+  if (!header.has_value()) {
+    return kLongestIdle;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto at = header->find(kTimeout);
+  if (at == std::string_view::npos) {
+    return kLongestIdle;
+  }
+  std::string_view digits = header->substr(at + kTimeout.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  const auto seconds = WholeNumber(digits);
+  if (!seconds.has_value()) {
+    return kLongestIdle;
+  }
+  const std::chrono::milliseconds stated =
+      std::chrono::seconds(*seconds) - kIdleReserve;
+  return std::clamp(stated, std::chrono::milliseconds(0), kLongestIdle);
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(asio::io_context& io,
+                                   asio::ip::tcp::endpoint endpoint,
+                                   std::string attempt_id_header)
+    : socket_(io),
+      connect_timer_(io),
+      endpoint_(std::move(endpoint)),
+      attempt_id_header_(std::move(attempt_id_header)) {}
+
+auto ServerConnection::Send(std::string request,
+                            std::string attempt_id,
+                            Duration connect_timeout,
+                            std::shared_ptr<ServerExchange> exchange) -> void {
+  request_ = std::move(request);
+  attempt_id_ = std::move(attempt_id);
+  exchange_ = std::move(exchange);
+  sent_ = false;
+  written_ = false;
+  head_done_ = false;
+  foreign_ = false;
+  paused_ = false;
+  parser_.reset();
+  if (connected_) {
+    WriteRequest();
+  } else {
+    Connect(connect_timeout);
+  }
+}
+
+auto ServerConnection::Connect(Duration timeout) -> void {
+  connect_timer_.expires_after(timeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && !self->connected_) {
+          self->End(ExchangeEnd::kNotSent);
+        }
+      });
+  socket_.async_connect(
+      endpoint_, [self = shared_from_this()](boost::system::error_code ec) {
+        self->connect_timer_.cancel();
+        if (!self->usable_ || self->exchange_ == nullptr) {
+          return;
+        }
+        if (ec) {
+          self->End(ExchangeEnd::kNotSent);
+          return;
+        }
+        self->connected_ = true;
+        boost::system::error_code ignored;
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        using UnsentTimeout =
+            asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        self->socket_.set_option(UnsentTimeout(kUnsentTimeoutMs), ignored);
+        self->WriteRequest();
+        self->ReadMore();
+      });
+}
+
+auto ServerConnection::WriteRequest() -> void {
+  sent_ = true;
+  asio::async_write(
+      socket_, asio::buffer(request_),
+      [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+        self->written_ = !ec;
+        // A failed write may follow an early answer, which the read finds.
+        if (ec && !self->reading_) {
+          self->End(ExchangeEnd::kBroken);
+        }
+      });
+}
+
+auto ServerConnection::ReadMore() -> void {
+  if (reading_ || !usable_ || paused_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadSize),
+      [self = shared_from_this()](boost::system::error_code ec,
+                                  std::size_t length) {
+        self->reading_ = false;
+        if (ec) {
+          self->OnReadEnd(ec == asio::error::eof);
+          return;
+        }
+        self->buffer_.commit(length);
+        self->OnBytes();
+        self->ReadMore();
+      });
+}
+
+auto ServerConnection::OnBytes() -> void {
+  if (exchange_ == nullptr) {
+    // Bytes that nobody asked for.
+    Close();
+    return;
+  }
+  while (usable_ && exchange_ != nullptr && buffer_.size() > 0 && !paused_) {
+    if (!parser_.has_value()) {
+      parser_.emplace();
+      parser_->header_limit(kLongestHead);
+      parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+      parser_->eager(true);
+      head_done_ = false;
+    }
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error && error != http::error::need_more) {
+      End(ExchangeEnd::kBroken);
+      return;
+    }
+    if (parser_->is_header_done() && !head_done_) {
+      OnHeadDone();
+    }
+    if (exchange_ == nullptr) {
+      return;
+    }
+    DeliverBody();
+    if (exchange_ == nullptr) {
+      return;
+    }
+    if (parser_->is_done()) {
+      OnAnswerDone();
+      continue;
+    }
+    if (error == http::error::need_more || used == 0) {
+      return;
+    }
+  }
+}
+
+auto ServerConnection::OnHeadDone() -> void {
+  head_done_ = true;
+  const AnswerHead& head = parser_->get().base();
+  const auto echoed = HeaderValue(head, attempt_id_header_);
+  foreign_ = (echoed.has_value() && *echoed != attempt_id_) ||
+             parser_->get().result_int() < 200;
+  if (!foreign_) {
+    exchange_->OnHead(head);
+  }
+}
+
+auto ServerConnection::DeliverBody() -> void {
+  std::string& body = parser_->get().body();
+  if (body.empty()) {
+    return;
+  }
+  const std::string bytes = std::exchange(body, {});
+  if (!foreign_) {
+    exchange_->OnBody(bytes);
+  }
+}
+
+auto ServerConnection::OnAnswerDone() -> void {
+  if (foreign_) {
+    parser_.reset();
+    return;
+  }
+  const AnswerHead& head = parser_->get().base();
+  // Further bytes, or a request that is still going out, would mix up the
+  // next answer.
+  const bool reusable = parser_->keep_alive() && written_ &&
+                        buffer_.size() == 0 && !parser_->need_eof();
+  idle_until_ = std::chrono::steady_clock::now() + IdleTime(head);
+  if (!reusable) {
+    Close();
+  }
+  parser_.reset();
+  End(ExchangeEnd::kWhole);
+}
+
+auto ServerConnection::OnReadEnd(bool clean) -> void {
+  if (exchange_ == nullptr) {
+    Close();
+    return;
+  }
+  if (clean && parser_.has_value() && parser_->is_header_done() && !foreign_ &&
+      parser_->need_eof() && !parser_->is_done()) {
+    boost::system::error_code error;
+    parser_->put_eof(error);
+    if (!error) {
+      Close();
+      End(ExchangeEnd::kWhole);
+      return;
+    }
+  }
+  End(sent_ ? ExchangeEnd::kBroken : ExchangeEnd::kNotSent);
+}
+
+auto ServerConnection::End(ExchangeEnd end) -> void {
+  if (end != ExchangeEnd::kWhole) {
+    Close();
+  }
+  const auto exchange = std::exchange(exchange_, nullptr);
+  if (exchange != nullptr) {
+    exchange->OnEnd(end);
+  }
+}
+
+auto ServerConnection::Cancel() -> void {
+  exchange_ = nullptr;
+  Close();
+}
+
+auto ServerConnection::Pause() -> void {
+  paused_ = true;
+}
+
+auto ServerConnection::Resume() -> void {
+  if (!paused_) {
+    return;
+  }
+  paused_ = false;
+  OnBytes();
+  ReadMore();
+}
+
+auto ServerConnection::BecomeIdle() -> void {
+  request_ = {};
+  ReadMore();
+}
+
+auto ServerConnection::IsReusable(
+    std::chrono::steady_clock::time_point now) const -> bool {
+  return usable_ && connected_ && exchange_ == nullptr && now < idle_until_;
+}
+
+auto ServerConnection::Close() -> void {
+  usable_ = false;
+  boost::system::error_code ignored;
+  connect_timer_.cancel();
+  socket_.close(ignored);
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -0,0 +1,120 @@
+#ifndef LIBZINNIASTEP_TRAFFIC_SERVER_CONNECTION_H_
+#define LIBZINNIASTEP_TRAFFIC_SERVER_CONNECTION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "libzinniastep/base/time.h"
+#include "libzinniastep/traffic/caller_connection.h"
+
+namespace zinniastep {
+
+// How an exchange with a backend server ended.
+enum class ExchangeEnd : std::uint8_t {
+  // No byte of the request left this host.
+  kNotSent,
+  // Bytes left, and the answer did not come whole.
+  kBroken,
+  // The answer came whole.
+  kWhole,
+};
+
+// Receives one answer of a backend server.
+class ServerExchange {
+ public:
+  ServerExchange() = default;
+  ServerExchange(const ServerExchange&) = delete;
+  auto operator=(const ServerExchange&) -> ServerExchange& = delete;
+  virtual ~ServerExchange() = default;
+
+  virtual auto OnHead(const AnswerHead& head) -> void = 0;
+  virtual auto OnBody(std::string_view bytes) -> void = 0;
+  // Called once, unless the exchange was cancelled.
+  virtual auto OnEnd(ExchangeEnd end) -> void = 0;
+};
+
+// One connection to a backend server. It carries one request at a time, finds
+// its answer by the attempt's id, and is of no further use after anything that
+// does not belong to the answer. Used on the traffic thread only.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  // `attempt_id_header` is the name of the header that answers echo.
+  ServerConnection(boost::asio::io_context& io,
+                   boost::asio::ip::tcp::endpoint endpoint,
+                   std::string attempt_id_header);
+
+  // Sends a request, after connecting if need be. The exchange must stay until
+  // its end or a cancellation.
+  auto Send(std::string request,
+            std::string attempt_id,
+            Duration connect_timeout,
+            std::shared_ptr<ServerExchange> exchange) -> void;
+
+  // Ends the exchange without a word, and the connection.
+  auto Cancel() -> void;
+
+  // Stops and goes on reading the answer.
+  auto Pause() -> void;
+  auto Resume() -> void;
+
+  // Watches the idle connection, which becomes unusable when anything comes.
+  auto BecomeIdle() -> void;
+
+  // Whether another request may go out on the connection.
+  [[nodiscard]] auto IsReusable(std::chrono::steady_clock::time_point now) const
+      -> bool;
+  [[nodiscard]] auto endpoint() const -> const boost::asio::ip::tcp::endpoint& {
+    return endpoint_;
+  }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  auto Connect(Duration timeout) -> void;
+  auto WriteRequest() -> void;
+  auto ReadMore() -> void;
+  auto OnBytes() -> void;
+  auto OnReadEnd(bool clean) -> void;
+  auto OnHeadDone() -> void;
+  auto OnAnswerDone() -> void;
+  auto DeliverBody() -> void;
+  auto End(ExchangeEnd end) -> void;
+  auto Close() -> void;
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer connect_timer_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  std::string attempt_id_header_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::string request_;
+  std::string attempt_id_;
+  std::shared_ptr<ServerExchange> exchange_;
+  bool connected_ = false;
+  bool sent_ = false;
+  bool written_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool head_done_ = false;
+  // The answer being read belongs to an earlier request.
+  bool foreign_ = false;
+  bool usable_ = true;
+  std::chrono::steady_clock::time_point idle_until_;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_TRAFFIC_SERVER_CONNECTION_H_
--- /dev/null
+++ b/src/libzinniastep/traffic/server_pool.cc
@@ -0,0 +1,61 @@
+#include "libzinniastep/traffic/server_pool.h"
+
+#include <chrono>
+#include <utility>
+
+#include "libzinniastep/traffic/socket_address.h"
+
+namespace zinniastep {
+
+ServerPool::ServerPool(boost::asio::io_context& io,
+                       std::string attempt_id_header)
+    : io_(io), attempt_id_header_(std::move(attempt_id_header)) {}
+
+auto ServerPool::Take(const std::string& address, Reuse reuse)
+    -> std::shared_ptr<ServerConnection> {
+  const auto now = std::chrono::steady_clock::now();
+  if (reuse == Reuse::kAllowed) {
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+      // The one used last is the least likely to be closed by now.
+      std::shared_ptr<ServerConnection> connection = std::move(idle.back());
+      idle.pop_back();
+      if (connection->IsReusable(now)) {
+        return connection;
+      }
+      connection->Cancel();
+    }
+  }
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint.ok()) {
+    return nullptr;
+  }
+  ++opened_;
+  return std::make_shared<ServerConnection>(io_, *endpoint, attempt_id_header_);
+}
+
+auto ServerPool::Return(const std::string& address,
+                        std::shared_ptr<ServerConnection> connection) -> void {
+  if (!connection->IsReusable(std::chrono::steady_clock::now())) {
+    connection->Cancel();
+    return;
+  }
+  connection->BecomeIdle();
+  idle_[address].push_back(std::move(connection));
+}
+
+auto ServerPool::Sweep() -> void {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [address, idle] : idle_) {
+    std::erase_if(idle, [now](const auto& connection) {
+      if (connection->IsReusable(now)) {
+        return false;
+      }
+      connection->Cancel();
+      return true;
+    });
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -0,0 +1,90 @@
+#include "libzinniastep/traffic/traffic_engine.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "libzinniastep/traffic/forwarder.h"
+
+namespace zinniastep {
+
+namespace {
+
+// Part of the fleet's budget of repeats that hosts use together; the rest is
+// for requests that are spread unevenly over them.
+constexpr double kBudgetUsed = 0.6;
+
+}  // namespace
+
+TrafficEngine::TrafficEngine(boost::asio::io_context& io,
+                             const GatewaySettings& settings,
+                             ForwardingHeaders headers,
+                             Metrics& metrics,
+                             LogSink log,
+                             std::uint64_t seed)
+    : io_(io),
+      settings_(settings),
+      headers_(std::move(headers)),
+      metrics_(metrics),
+      log_(std::move(log)),
+      random_(seed),
+      view_(std::make_shared<TrafficView>()),
+      chooser_(settings.host, settings.domain, settings.region),
+      pool_(io, headers_.attempt_id) {}
+
+TrafficEngine::~TrafficEngine() = default;
+
+auto TrafficEngine::Now() const -> Instant {
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+auto TrafficEngine::SetView(std::shared_ptr<const TrafficView> view) -> void {
+  view_ = std::move(view);
+  chooser_.SetView(Now(), view_);
+}
+
+auto TrafficEngine::OnRequest(std::shared_ptr<CallerConnection> caller,
+                              CallerRequest request) -> void {
+  std::make_shared<Forwarder>(*this, std::move(caller), std::move(request))
+      ->Begin();
+}
+
+auto TrafficEngine::TakeEvidence() -> std::vector<VersionRow> {
+  std::vector<VersionRow> rows;
+  for (const auto& [key, counts] : evidence_) {
+    rows.push_back({key, counts});
+  }
+  evidence_.clear();
+  return rows;
+}
+
+auto TrafficEngine::Limits() const -> CallerLimits {
+  return view_->policy == nullptr ? CallerLimits() : view_->policy->limits();
+}
+
+auto TrafficEngine::BudgetFor(const ServiceId& service) -> RetryBudget& {
+  const auto hosts =
+      static_cast<double>(std::max<std::size_t>(view_->hosts, 1));
+  return budgets_
+      .try_emplace(service, settings_.repeat_share * kBudgetUsed,
+                   std::max(1.0, settings_.repeat_slack * kBudgetUsed / hosts))
+      .first->second;
+}
+
+auto TrafficEngine::AddEvidence(const VersionKey& key,
+                                const VersionCounts& counts) -> void {
+  evidence_[key].Add(counts);
+}
+
+auto TrafficEngine::OnRequestBegun(std::shared_ptr<Forwarder> forwarder)
+    -> void {
+  active_.insert(std::move(forwarder));
+}
+
+auto TrafficEngine::OnRequestOver(const std::shared_ptr<Forwarder>& forwarder)
+    -> void {
+  active_.erase(forwarder);
+}
+
+}  // namespace zinniastep
--- /dev/null
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -0,0 +1,108 @@
+#ifndef LIBZINNIASTEP_TRAFFIC_TRAFFIC_ENGINE_H_
+#define LIBZINNIASTEP_TRAFFIC_TRAFFIC_ENGINE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "libzinniastep/base/random.h"
+#include "libzinniastep/base/time.h"
+#include "libzinniastep/core/action.h"
+#include "libzinniastep/gateway/backend_entry.h"
+#include "libzinniastep/gateway/gateway_settings.h"
+#include "libzinniastep/gateway/messages.h"
+#include "libzinniastep/gateway/server_chooser.h"
+#include "libzinniastep/routing/retry_budget.h"
+#include "libzinniastep/runtime/metrics.h"
+#include "libzinniastep/traffic/caller_connection.h"
+#include "libzinniastep/traffic/forwarding_headers.h"
+#include "libzinniastep/traffic/server_pool.h"
+
+namespace zinniastep {
+
+class Forwarder;
+
+// What the requests under way on a host share: the current view, the choice of
+// servers, connections to them, budgets and counts. Used on the traffic thread
+// only.
+class TrafficEngine {
+ public:
+  using LogSink = std::function<void(const LogEvent&)>;
+
+  TrafficEngine(boost::asio::io_context& io,
+                const GatewaySettings& settings,
+                ForwardingHeaders headers,
+                Metrics& metrics,
+                LogSink log,
+                std::uint64_t seed);
+  TrafficEngine(const TrafficEngine&) = delete;
+  auto operator=(const TrafficEngine&) -> TrafficEngine& = delete;
+  ~TrafficEngine();
+
+  // Takes a newer view.
+  auto SetView(std::shared_ptr<const TrafficView> view) -> void;
+
+  // Takes a caller's request.
+  auto OnRequest(std::shared_ptr<CallerConnection> caller,
+                 CallerRequest request) -> void;
+
+  // From now on new requests are refused as not run.
+  auto RefuseNew() -> void { refusing_ = true; }
+
+  // Closes idle connections that are past their time.
+  auto Sweep() -> void { pool_.Sweep(); }
+
+  // Returns and forgets what answers have shown since the last call.
+  [[nodiscard]] auto TakeEvidence() -> std::vector<VersionRow>;
+
+  // Returns the limits of callers in force.
+  [[nodiscard]] auto Limits() const -> CallerLimits;
+
+  // The requests under way.
+  [[nodiscard]] auto active() const -> std::size_t { return active_.size(); }
+  [[nodiscard]] auto view() const -> const TrafficView& { return *view_; }
+  // Whether a configuration is in force, so that requests can be served.
+  [[nodiscard]] auto is_ready() const -> bool {
+    return view_->policy != nullptr && !refusing_;
+  }
+  [[nodiscard]] auto is_refusing() const -> bool { return refusing_; }
+
+  // For the requests under way.
+  [[nodiscard]] auto Now() const -> Instant;
+  auto Draw() -> double { return random_.Unit(); }
+  auto BudgetFor(const ServiceId& service) -> RetryBudget&;
+  auto AddEvidence(const VersionKey& key, const VersionCounts& counts) -> void;
+  auto Log(const LogEvent& event) -> void { log_(event); }
+  auto OnRequestBegun(std::shared_ptr<Forwarder> forwarder) -> void;
+  auto OnRequestOver(const std::shared_ptr<Forwarder>& forwarder) -> void;
+  [[nodiscard]] auto io() -> boost::asio::io_context& { return io_; }
+  [[nodiscard]] auto chooser() -> ServerChooser& { return chooser_; }
+  [[nodiscard]] auto pool() -> ServerPool& { return pool_; }
+  [[nodiscard]] auto headers() const -> const ForwardingHeaders& {
+    return headers_;
+  }
+  [[nodiscard]] auto metrics() -> Metrics& { return metrics_; }
+
+ private:
+  boost::asio::io_context& io_;
+  GatewaySettings settings_;
+  ForwardingHeaders headers_;
+  Metrics& metrics_;
+  LogSink log_;
+  Random random_;
+  std::shared_ptr<const TrafficView> view_;
+  ServerChooser chooser_;
+  ServerPool pool_;
+  std::map<ServiceId, RetryBudget> budgets_;
+  VersionEvidence evidence_;
+  std::set<std::shared_ptr<Forwarder>> active_;
+  bool refusing_ = false;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_TRAFFIC_TRAFFIC_ENGINE_H_
--- a/src/libzinniastep/wire/peer_message.h
+++ b/src/libzinniastep/wire/peer_message.h
@@ -7,6 +7,7 @@
 #include "libzinniastep/billing/messages.h"
 #include "libzinniastep/claim/messages.h"
 #include "libzinniastep/configuration/messages.h"
+#include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/membership/messages.h"
 #include "libzinniastep/rollout/messages.h"
 #include "libzinniastep/steward/messages.h"
@@ -21,7 +22,8 @@
                                  BillingMessage,
                                  StewardMessage,
                                  ConfigurationMessage,
-                                 EvidenceMessage>;
+                                 EvidenceMessage,
+                                 GatewayMessage>;
 
 }  // namespace zinniastep
 
