Begin with the smallest model and ask again when it doubts itself

Cause: the largest model answered everything: it takes ten times the smallest one's time and is charged fifteen times as much.

Change: a model's opinion of its answer decides before the first event; below 50 the largest model answers instead, fewer when servers fill up.

--- a/src/libzinniastep/gateway/model_ladder.cc
+++ b/src/libzinniastep/gateway/model_ladder.cc
@@ -6,32 +6,32 @@
 
 namespace {
 
-// Utilization from which each smaller model answers.
-constexpr double kSecondModelFrom = 0.75;
-constexpr double kThirdModelFrom = 1.3;
-// An answer with a lower opinion of itself is asked for again.
-constexpr std::uint32_t kLeastConfidence = 50;
+// Models tell of themselves whether they could answer; at this opinion they are
+// as often right as wrong.
+constexpr double kEvenConfidence = 50.0;
+// Utilization from which fewer answers are asked for again, and from which
+// none is: the largest model takes ten times the smallest one's time.
+constexpr double kFewerFrom = 0.7;
+constexpr double kNoneFrom = 1.2;
+
+// Returns the opinion below which an answer is asked for again.
+auto LeastConfidence(double utilization) -> double {
+  const double room =
+      (kNoneFrom - utilization) / (kNoneFrom - kFewerFrom);
+  return kEvenConfidence * std::clamp(room, 0.0, 1.0);
+}
 
 }  // namespace
 
-auto FirstModel(const LadderState& state) -> std::size_t {
-  if (state.models == 0) {
-    return 0;
-  }
-  std::size_t steps_down = 0;
-  if (state.utilization >= kThirdModelFrom) {
-    steps_down = 2;
-  } else if (state.utilization >= kSecondModelFrom) {
-    steps_down = 1;
-  }
-  return state.models - 1 - std::min(steps_down, state.models - 1);
+auto FirstModel(const LadderState& /*state*/) -> std::size_t {
+  return 0;
 }
 
 auto NextModel(const LadderState& state,
                std::size_t model,
                std::uint32_t confidence) -> std::optional<std::size_t> {
   if (model + 1 >= state.models || state.sends_left == 0 ||
-      confidence >= kLeastConfidence || state.utilization >= kSecondModelFrom) {
+      confidence >= LeastConfidence(state.utilization)) {
     return std::nullopt;
   }
   return state.models - 1;
--- a/src/libzinniastep/gateway/model_ladder.h
+++ b/src/libzinniastep/gateway/model_ladder.h
@@ -17,9 +17,9 @@
   std::uint32_t sends_left = 1;
 };
 
-// Returns the position of the model that a request begins with. Larger models
-// answer harder requests well and take more of a server's time, so that the
-// largest answers until its servers fill up.
+// Returns the position of the model that a request begins with: the smallest,
+// whose opinion of its own answer costs little and comes before its first
+// event.
 [[nodiscard]] auto FirstModel(const LadderState& state) -> std::size_t;
 
 // Returns the position of the model that should answer in place of one whose
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -692,6 +692,10 @@
                 {"outcome", std::string(outcome)},
                 {"status", std::to_string(status)},
                 {"sends", std::to_string(tried_.size())},
+                {"model", names_model_ ? route_->models[model_] : ""},
+                {"confidence",
+                 std::string(HeaderValue(head_, engine_.headers().confidence)
+                                 .value_or(""))},
                 {"events", std::to_string(events_passed_)},
                 {"took_ms", std::to_string(Milliseconds(total))}}});
   engine_.OnRequestOver(shared_from_this());
