Move no session in the first half of a roll-out

Ruled out: a list of recent sessions told between hosts, which the trial's few answers are not worth.

Change: the target's part is 0 until half of the duration, then 0.1, 0.35 and 1 with evidence; hosts tell each other how far they are, so that a restarted host does not begin anew; a failed request goes to an earlier version.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -47,6 +47,9 @@
 constexpr Duration kUnknownColdStart = std::chrono::seconds(3);
 // A new version's servers may be listed before the order that brings them.
 constexpr Duration kNewVersionPause = std::chrono::seconds(3);
+// A host serves without having met its peers after this time.
+constexpr Duration kLongestJoin = std::chrono::milliseconds(1500);
+constexpr Duration kJoinPoll = std::chrono::milliseconds(100);
 // Time alone changes a view (entries that lapse, pauses that end).
 constexpr Duration kTimedPublish = std::chrono::milliseconds(500);
 
@@ -142,7 +145,7 @@
   }
   if (changed) {
     Records(now, kind);
-    SendToSome(kChangeFanOut, Digests());
+    SendToSome(kChangeFanOut, Digest(now));
   }
   StartReads(now);
   return Take(now);
@@ -318,11 +321,13 @@
 
 auto GatewayCore::Handle(Instant now,
                          const PeerRef& from,
-                         const RecordDigests& digests) -> void {
+                         const HostDigest& digest) -> void {
+  for (const RolloutProgress& progress : digest.rollouts) {
+    dirty_ = rollouts_.OnPeerProgress(now, progress) || dirty_;
+  }
   for (const RecordKind kind : kAllKinds) {
-    const RecordDigest& digest =
-        digests.kinds.at(static_cast<std::size_t>(kind));
-    if (!mirror_.IsNewer(kind, digest)) {
+    if (!mirror_.IsNewer(kind,
+                         digest.kinds.at(static_cast<std::size_t>(kind)))) {
       continue;
     }
     const auto known = newer_elsewhere_.find(kind);
@@ -359,7 +364,7 @@
                   {"kind", std::to_string(static_cast<int>(snapshot.kind))},
                   {"as_of", std::to_string(snapshot.as_of)}}});
     Records(now, snapshot.kind);
-    SendToSome(kChangeFanOut, Digests());
+    SendToSome(kChangeFanOut, Digest(now));
   }
 }
 
@@ -427,15 +432,16 @@
     return;
   }
   next_digest_ = now + kDigestPeriod;
-  SendToSome(kPeriodicFanOut, Digests());
+  SendToSome(kPeriodicFanOut, Digest(now));
 }
 
-auto GatewayCore::Digests() const -> RecordDigests {
-  RecordDigests digests;
+auto GatewayCore::Digest(Instant now) const -> HostDigest {
+  HostDigest digest;
   for (const RecordKind kind : kAllKinds) {
-    digests.kinds.at(static_cast<std::size_t>(kind)) = mirror_.Digest(kind);
+    digest.kinds.at(static_cast<std::size_t>(kind)) = mirror_.Digest(kind);
   }
-  return digests;
+  digest.rollouts = rollouts_.progress(now);
+  return digest;
 }
 
 auto GatewayCore::SendTo(const HostIdentity& peer, GatewayMessage message)
@@ -524,11 +530,11 @@
   if (!rollouts_.IsRunning()) {
     return;
   }
-  const auto before = rollouts_.splits();
   if (!rollouts_.Judge(now, AllEvidence())) {
     return;
   }
   dirty_ = true;
+  SendToSome(kSmallFleet, Digest(now));
   for (const RolloutSplit& split : rollouts_.splits()) {
     actions_.emplace_back(
         LogEvent{"rollout_share",
@@ -650,7 +656,13 @@
   view->hosts = std::max<std::size_t>(membership_.live_hosts().size(), 1);
   view->regions = settings_.regions;
   view->fronts = Fronts();
-  if (policy_ != nullptr && all_known) {
+  // Peers tell how far roll-outs are and how many share a cold server.
+  const bool met_peers = published_ || membership_.joined() ||
+                         now - started_.value_or(now) >= kLongestJoin;
+  if (policy_ != nullptr && all_known && !met_peers) {
+    next_publish_ = now + kJoinPoll;
+  }
+  if (policy_ != nullptr && all_known && met_peers) {
     view->policy = policy_;
     view->backends = AcceptedBackends(now);
     view->evacuated = evacuated_;
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -114,7 +114,7 @@
 
   auto Handle(Instant now, const PeerRef& from, const std::monostate& message)
       -> void;
-  auto Handle(Instant now, const PeerRef& from, const RecordDigests& digests)
+  auto Handle(Instant now, const PeerRef& from, const HostDigest& digest)
       -> void;
   auto Handle(Instant now, const PeerRef& from, const RecordsRequest& request)
       -> void;
@@ -125,7 +125,7 @@
   auto Handle(Instant now, const PeerRef& from, const VersionFault& fault)
       -> void;
 
-  [[nodiscard]] auto Digests() const -> RecordDigests;
+  [[nodiscard]] auto Digest(Instant now) const -> HostDigest;
   [[nodiscard]] auto AllEvidence() const -> VersionEvidence;
   // This host's place among those that may speak for a name; 0 speaks first.
   [[nodiscard]] auto RankFor(const std::string& name) const -> std::size_t;
--- a/src/libzinniastep/gateway/messages.h
+++ b/src/libzinniastep/gateway/messages.h
@@ -9,19 +9,23 @@
 
 #include "libzinniastep/base/ids.h"
 #include "libzinniastep/gateway/record_mirror.h"
+#include "libzinniastep/gateway/rollout_progress.h"
 #include "libzinniastep/gateway/version_evidence.h"
 
 namespace zinniastep {
 
-// Tells which states of the store's objects the sender holds.
-struct RecordDigests {
+// Tells which states of the store's objects the sender holds, and how far it
+// is with roll-outs.
+struct HostDigest {
   std::array<RecordDigest, kRecordKinds> kinds;
+  std::vector<RolloutProgress> rollouts;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     for (RecordDigest& digest : kinds) {
       archive(digest);
     }
+    archive(rollouts);
   }
 };
 
@@ -71,7 +75,7 @@
 
 // The gateway's messages between hosts.
 using GatewayMessage = std::variant<std::monostate,
-                                    RecordDigests,
+                                    HostDigest,
                                     RecordsRequest,
                                     RecordSnapshot,
                                     OwnEvidence,
--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -1,26 +1,29 @@
 #include "libzinniastep/gateway/rollout_guard.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace zinniastep {
 
 namespace {
 
-// Part of the sessions that uses the target during the first half: some
-// requests a second on a busy service, and well below any exposure limit that
-// a deployment states (a tenth and more).
-constexpr double kTrialShare = 0.07;
-// Part that uses it while the second half begins.
-constexpr double kWideShare = 0.3;
-// Positions of the stages within a roll-out's duration. The slack after the
-// half covers what hosts differ in when they learned of the order.
-constexpr double kWideFrom = 0.54;
-constexpr double kFullFrom = 0.62;
-constexpr double kCompleteFrom = 0.75;
-// Answers of the target that a roll-out wants before each wider stage.
-constexpr std::uint64_t kAnswersForWide = 8;
-constexpr std::uint64_t kAnswersForComplete = 20;
+// Parts of the sessions that use the target, and where in the roll-out's
+// duration each begins. The slack after the half covers what hosts differ in
+// when they learned of the order. The first part shows a version that fails
+// often after some ten requests, well below any exposure limit that a
+// deployment states (a tenth of the service's requests and more).
+struct Stage {
+  double from;
+  double share;
+  // Answers of the target that the stage asks for.
+  std::uint64_t answers;
+};
+constexpr std::array<Stage, 3> kStages = {
+    {{0.52, 0.1, 0}, {0.66, 0.35, 6}, {0.76, 1.0, 16}}};
+// Where a roll-out without a fault is complete; what is left of its duration
+// covers a store that is away for some seconds.
+constexpr double kCompleteFrom = 0.88;
 // A version that fails three in ten is tested against one that fails as often
 // as the others do, and at least this often.
 constexpr double kFaultyRate = 0.3;
@@ -105,7 +108,6 @@
       rollout.share = 0.0;
       rollout.state = RolloutState::kRunning;
       rollout.reason.clear();
-      rollout.full_since.reset();
     }
     // A verdict that stands in the store is final.
     if (record.state.has_value() &&
@@ -139,12 +141,10 @@
   const double progress =
       std::chrono::duration<double>(now - rollout.began) /
       std::chrono::duration<double>(std::max(order.duration, Duration(1)));
-  rollout.share = kTrialShare;
-  if (progress >= kWideFrom && target.answers >= kAnswersForWide) {
-    rollout.share = kWideShare;
-  }
-  if (progress >= kFullFrom && target.answers >= kAnswersForComplete) {
-    rollout.share = 1.0;
+  for (const Stage& stage : kStages) {
+    if (progress >= stage.from && target.answers >= stage.answers) {
+      rollout.share = std::max(rollout.share, stage.share);
+    }
   }
   if (progress >= kCompleteFrom && rollout.share >= 1.0) {
     rollout.state = RolloutState::kComplete;
@@ -182,6 +182,44 @@
   return false;
 }
 
+auto RolloutGuard::OnPeerProgress(Instant now, const RolloutProgress& progress)
+    -> bool {
+  bool changed = false;
+  for (auto& [name, rollout] : rollouts_) {
+    if (rollout.record.order.service != progress.service ||
+        rollout.record.order.target_version != progress.target_version ||
+        rollout.record.created != progress.order ||
+        rollout.state != RolloutState::kRunning) {
+      continue;
+    }
+    rollout.began = std::min(
+        rollout.began, now - std::chrono::milliseconds(progress.elapsed_ms));
+    if (progress.share > rollout.share && progress.share <= 1.0) {
+      rollout.share = progress.share;
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+auto RolloutGuard::progress(Instant now) const
+    -> std::vector<RolloutProgress> {
+  std::vector<RolloutProgress> all;
+  for (const auto& [name, rollout] : rollouts_) {
+    if (rollout.state != RolloutState::kRunning) {
+      continue;
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - rollout.began);
+    all.push_back({rollout.record.order.service,
+                   rollout.record.order.target_version, rollout.record.created,
+                   static_cast<std::uint64_t>(
+                       std::max<std::int64_t>(elapsed.count(), 0)),
+                   rollout.share});
+  }
+  return all;
+}
+
 auto RolloutGuard::splits() const -> std::vector<RolloutSplit> {
   std::vector<RolloutSplit> splits;
   for (const auto& [name, rollout] : rollouts_) {
--- a/src/libzinniastep/gateway/rollout_guard.h
+++ b/src/libzinniastep/gateway/rollout_guard.h
@@ -11,6 +11,7 @@
 #include "libzinniastep/base/ids.h"
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/backend_entry.h"
+#include "libzinniastep/gateway/rollout_progress.h"
 #include "libzinniastep/gateway/version_evidence.h"
 
 namespace zinniastep {
@@ -39,9 +40,10 @@
 };
 
 // Moves a service's traffic to a new version while evidence speaks for it.
-// During the first half of a roll-out a small, fixed part of the sessions uses
-// the target; in the second half the part grows to all of them. A fault takes
-// the target out at once. A verdict is final for the order.
+// During the first half of a roll-out all sessions stay where they are; in the
+// second half the part that uses the target grows from a few to all of them.
+// No session returns, unless the target shows a fault, which takes it out at
+// once. A verdict is final for the order.
 class RolloutGuard {
  public:
   // Takes the records as they are now.
@@ -56,6 +58,15 @@
                      const std::string& target_version,
                      std::uint64_t order) -> bool;
 
+  // Takes over a peer's time and share where they are ahead, so that a host
+  // that was restarted meanwhile does not begin anew. Returns whether the
+  // share changed.
+  auto OnPeerProgress(Instant now, const RolloutProgress& progress) -> bool;
+
+  // Returns how far this host is with the roll-outs under way.
+  [[nodiscard]] auto progress(Instant now) const
+      -> std::vector<RolloutProgress>;
+
   // Returns the splits in force, also for versions that were taken back.
   [[nodiscard]] auto splits() const -> std::vector<RolloutSplit>;
 
@@ -73,8 +84,6 @@
     double share = 0.0;
     RolloutState state = RolloutState::kRunning;
     std::string reason;
-    // Answers of the target when its full share began.
-    std::optional<Instant> full_since;
   };
 
   auto Advance(Instant now, const VersionEvidence& evidence, Rollout& rollout)
--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -90,7 +90,8 @@
     const std::uint64_t draw =
         StableHash(split.target_version, need.session ^ split.order);
     const double place = static_cast<double>(draw >> 11U) * 0x1.0p-53;
-    const bool to_target = !target_is_out && place < split.target_share;
+    const bool to_target = !target_is_out && !need.avoid_target &&
+                           place < split.target_share;
     return (backend.entry.version == split.target_version) == to_target;
   }
   return true;
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -28,6 +28,8 @@
   // Regions that may serve it; empty means all.
   std::span<const RegionId> regions;
   std::span<const RegionId> account_regions;
+  // The target of a roll-out failed the request before.
+  bool avoid_target = false;
   // Servers that were tried already.
   std::span<const BackendServerId> tried;
 };
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -205,6 +205,7 @@
   if (account_ != nullptr) {
     need.account_regions = account_->home_regions;
   }
+  need.avoid_target = server_failed_before_;
   need.tried = tried_;
   const UsableBackend* backend = engine_.chooser().Choose(now, need);
   if (backend != nullptr) {
@@ -509,6 +510,7 @@
 
 auto Forwarder::OnAttemptOver(SendOutcome outcome) -> void {
   if (outcome == SendOutcome::kServerFailure) {
+    server_failed_before_ = true;
     CountEvidence(true);
   }
   const bool reached =
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -84,6 +84,8 @@
   Instant no_server_since_;
   bool waiting_for_server_ = false;
   std::vector<BackendServerId> tried_;
+  // A server failed the request, maybe for its version.
+  bool server_failed_before_ = false;
 
   // The send under way.
   std::optional<BackendEntry> server_;
