--- /dev/null
+++ b/tests/gateway/forward_decision_test.cc
@@ -0,0 +1,106 @@
+#include "libzinniastep/gateway/forward_decision.h"
+
+#include <array>
+
+#include <gtest/gtest.h>
+
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+namespace {
+
+constexpr std::array kFailures = {
+    SendOutcome::kNotSent, SendOutcome::kDeclined,      SendOutcome::kMisdirected,
+    SendOutcome::kBroken,  SendOutcome::kServerFailure, SendOutcome::kSilent};
+
+auto MayHaveRun(SendOutcome outcome) -> bool {
+  return outcome == SendOutcome::kBroken ||
+         outcome == SendOutcome::kServerFailure ||
+         outcome == SendOutcome::kSilent;
+}
+
+auto After(SendOutcome outcome) -> ForwardProgress {
+  ForwardProgress progress;
+  progress.most_servers = 3;
+  progress.deadline = At(1000);
+  progress.may_have_run = MayHaveRun(outcome);
+  const bool reached = outcome != SendOutcome::kNotSent &&
+                       outcome != SendOutcome::kMisdirected;
+  (reached ? progress.servers_used : progress.futile_sends) = 1;
+  return progress;
+}
+
+TEST(ForwardDecision, WhatRunsOnceIsNeverSentAgainAfterItMayHaveRun) {
+  for (const SendOutcome outcome : kFailures) {
+    const NextStep step = DecideNext(At(0), After(outcome), outcome, true);
+    EXPECT_EQ(std::holds_alternative<TryAnother>(step), !MayHaveRun(outcome))
+        << ToString(outcome);
+  }
+}
+
+TEST(ForwardDecision, NotRunIsSaidOnlyWhenItIsTrue) {
+  for (const SendOutcome outcome : kFailures) {
+    for (const bool may_repeat : {false, true}) {
+      for (const std::int64_t now : {0, 995, 1200}) {
+        const NextStep step =
+            DecideNext(At(now), After(outcome), outcome, may_repeat);
+        if (std::holds_alternative<RefuseNotRun>(step)) {
+          EXPECT_FALSE(MayHaveRun(outcome)) << ToString(outcome);
+        }
+      }
+    }
+  }
+}
+
+TEST(ForwardDecision, AnIdempotentRequestGoesElsewhereWithinItsLimits) {
+  for (const SendOutcome outcome : kFailures) {
+    ForwardProgress progress = After(outcome);
+    progress.repeat_rule = RepeatRule::kIdempotent;
+    EXPECT_TRUE(std::holds_alternative<TryAnother>(
+        DecideNext(At(0), progress, outcome, true)))
+        << ToString(outcome);
+    progress.servers_used = progress.most_servers;
+    EXPECT_FALSE(std::holds_alternative<TryAnother>(
+        DecideNext(At(0), progress, outcome, true)))
+        << ToString(outcome);
+  }
+}
+
+TEST(ForwardDecision, TheBudgetOfRepeatsHoldsForRepeatsOnly) {
+  ForwardProgress progress = After(SendOutcome::kServerFailure);
+  progress.repeat_rule = RepeatRule::kIdempotent;
+  EXPECT_TRUE(std::holds_alternative<PassServerFailure>(
+      DecideNext(At(0), progress, SendOutcome::kServerFailure, false)));
+  EXPECT_TRUE(std::holds_alternative<TryAnother>(DecideNext(
+      At(0), After(SendOutcome::kNotSent), SendOutcome::kNotSent, false)));
+}
+
+TEST(ForwardDecision, APartOfAnAnswerIsBrokenOffAndNeverFollowedByAnother) {
+  ForwardProgress progress = After(SendOutcome::kBroken);
+  progress.caller_has_bytes = true;
+  EXPECT_TRUE(std::holds_alternative<BreakOff>(
+      DecideNext(At(0), progress, SendOutcome::kBroken, true)));
+  progress.resumable = true;
+  EXPECT_TRUE(std::holds_alternative<TryAnother>(
+      DecideNext(At(0), progress, SendOutcome::kBroken, true)));
+}
+
+TEST(ForwardDecision, SendsThatReachNobodyEnd) {
+  ForwardProgress progress = After(SendOutcome::kNotSent);
+  progress.futile_sends = kMostFutileSends;
+  EXPECT_TRUE(std::holds_alternative<RefuseNotRun>(
+      DecideNext(At(0), progress, SendOutcome::kNotSent, true)));
+}
+
+TEST(ForwardDecision, SaysWhetherTheTimeIsOver) {
+  const ForwardProgress progress = After(SendOutcome::kBroken);
+  EXPECT_FALSE(std::get<ReportUnknown>(
+                   DecideNext(At(10), progress, SendOutcome::kBroken, true))
+                   .timed_out);
+  EXPECT_TRUE(std::get<ReportUnknown>(
+                  DecideNext(At(1000), progress, SendOutcome::kSilent, true))
+                  .timed_out);
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/gateway/gateway_core_test.cc
@@ -0,0 +1,198 @@
+#include "libzinniastep/gateway/gateway_core.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/support/gateway_fleet.h"
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kHosts = 8;
+
+// A fleet that serves version 1 with two backend servers.
+class GatewayCoreTest : public ::testing::Test {
+ protected:
+  GatewayCoreTest() : fleet_(kHosts) {
+    fleet_.Put(RecordKind::kConfiguration, "main", "1");
+    fleet_.Put(RecordKind::kBackendServers, "a", "v1");
+    fleet_.Put(RecordKind::kBackendServers, "b", "v1");
+    fleet_.Run(seconds(6));
+  }
+
+  auto VersionOf(std::size_t host) -> std::uint64_t {
+    const auto& policy = fleet_.View(host).policy;
+    return policy == nullptr ? 0 : policy->version();
+  }
+
+  GatewayFleet fleet_;
+};
+
+TEST_F(GatewayCoreTest, EveryHostServesAndKnowsAllOthers) {
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_EQ(VersionOf(host), 1U);
+    EXPECT_EQ(fleet_.View(host).backends.size(), 2U);
+    EXPECT_EQ(fleet_.View(host).fronts.size(), kHosts);
+  }
+}
+
+TEST_F(GatewayCoreTest, AnIdleFleetMakesFewStoreCalls) {
+  const std::size_t before = fleet_.store_calls();
+  fleet_.Run(seconds(60));
+  // Four kinds, three watches a minute.
+  EXPECT_LE(fleet_.store_calls() - before, kHosts * 4 * 4);
+}
+
+TEST_F(GatewayCoreTest, AStoreThatRefusesIsNotAskedInABusyLoop) {
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    fleet_.SetStoreFault(host, GatewayFleet::StoreFault::kRefusing);
+  }
+  const std::size_t before = fleet_.store_calls();
+  fleet_.Run(seconds(20));
+  EXPECT_LE(fleet_.store_calls() - before, kHosts * 4 * 50);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_EQ(VersionOf(host), 1U) << "serves on with what it knows";
+  }
+}
+
+TEST_F(GatewayCoreTest, HostsThatTheStoreTurnsAwayLearnFromTheirPeers) {
+  for (const auto fault : {GatewayFleet::StoreFault::kRefusing,
+                           GatewayFleet::StoreFault::kSilent}) {
+    fleet_.SetStoreFault(2, fault);
+    fleet_.SetStoreFault(5, fault);
+    fleet_.Run(seconds(1));
+    const std::uint64_t next = VersionOf(0) + 1;
+    fleet_.Put(RecordKind::kConfiguration, "main", std::to_string(next));
+    fleet_.Run(milliseconds(2000));
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      EXPECT_EQ(VersionOf(host), next) << host;
+    }
+    fleet_.SetStoreFault(2, GatewayFleet::StoreFault::kNone);
+    fleet_.SetStoreFault(5, GatewayFleet::StoreFault::kNone);
+    fleet_.Run(seconds(25));
+  }
+}
+
+TEST_F(GatewayCoreTest, AHostThatStartsDuringAnOutageLearnsFromItsPeers) {
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    fleet_.SetStoreFault(host, GatewayFleet::StoreFault::kSilent);
+  }
+  fleet_.Run(seconds(1));
+  fleet_.Restart(3);
+  fleet_.Run(seconds(4));
+  EXPECT_EQ(VersionOf(3), 1U);
+  EXPECT_EQ(fleet_.View(3).backends.size(), 2U);
+}
+
+TEST_F(GatewayCoreTest, AnOlderVersionNeverComesBack) {
+  fleet_.Put(RecordKind::kConfiguration, "main", "9");
+  fleet_.Run(seconds(1));
+  fleet_.Put(RecordKind::kConfiguration, "main", "4");
+  fleet_.Run(seconds(2));
+  EXPECT_EQ(VersionOf(0), 9U);
+}
+
+TEST_F(GatewayCoreTest, AConfigurationThatCannotBeReadLeavesTheLastInForce) {
+  fleet_.Put(RecordKind::kConfiguration, "main", "");
+  fleet_.Run(seconds(2));
+  EXPECT_EQ(VersionOf(0), 1U);
+}
+
+TEST_F(GatewayCoreTest, ALeavingServerIsOutEverywhereAtOnce) {
+  fleet_.Put(RecordKind::kBackendServers, "a", "draining");
+  fleet_.Run(milliseconds(200));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    ASSERT_EQ(fleet_.View(host).backends.size(), 1U);
+    EXPECT_EQ(fleet_.View(host).backends[0].entry.id, BackendServerId("b"));
+  }
+}
+
+TEST_F(GatewayCoreTest, AnEntryThatLapsedIsKeptUntilItCanBeBack) {
+  fleet_.Remove(RecordKind::kBackendServers, "a");
+  fleet_.Run(milliseconds(1500));
+  EXPECT_EQ(fleet_.View(0).backends.size(), 2U);
+  fleet_.Run(milliseconds(800));
+  EXPECT_EQ(fleet_.View(0).backends.size(), 1U)
+      << "well before it must get nothing more";
+}
+
+TEST_F(GatewayCoreTest, ALostHostIsNotNamedToCallersForLong) {
+  fleet_.Stop(4);
+  fleet_.Run(seconds(5));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    if (host != 4) {
+      EXPECT_EQ(fleet_.View(host).fronts.size(), kHosts - 1) << host;
+    }
+  }
+}
+
+TEST_F(GatewayCoreTest, AHostThatShutsDownIsNamedNoMore) {
+  fleet_.Feed(4, fleet_.core(4).BeginShutdown(fleet_.now()));
+  fleet_.Run(seconds(2));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_EQ(fleet_.View(host).fronts.size(), kHosts - 1) << host;
+  }
+}
+
+TEST_F(GatewayCoreTest, ServersOfANewVersionWaitForTheOrderThatBringsThem) {
+  fleet_.Put(RecordKind::kBackendServers, "c", "v2");
+  fleet_.Run(milliseconds(500));
+  EXPECT_EQ(fleet_.View(0).backends.size(), 2U);
+  fleet_.Put(RecordKind::kRollouts, "pool", "v2");
+  fleet_.Run(milliseconds(500));
+  EXPECT_EQ(fleet_.View(0).backends.size(), 3U);
+  ASSERT_EQ(fleet_.View(0).splits.size(), 1U);
+  EXPECT_EQ(fleet_.View(0).splits[0].target_share, 0.0);
+}
+
+TEST_F(GatewayCoreTest, AFaultThatHostsSeeTogetherTakesTheVersionOut) {
+  fleet_.Put(RecordKind::kRollouts, "pool", "v2");
+  fleet_.Put(RecordKind::kBackendServers, "c", "v2");
+  fleet_.Run(seconds(12));
+  EXPECT_GT(fleet_.View(0).splits.at(0).target_share, 0.0);
+  // One failure a host proves nothing; four together do.
+  for (std::size_t host = 0; host < 4; ++host) {
+    const VersionKey old_key{ServiceId("pool"), "v1", "r"};
+    const VersionKey new_key{ServiceId("pool"), "v2", "r"};
+    fleet_.Feed(host, fleet_.core(host).OnEvidence(
+                          fleet_.now(), {{old_key, {50, 0, 0, 0.0}},
+                                         {new_key, {1, 1, 0, 0.0}}}));
+  }
+  fleet_.Run(seconds(2));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_EQ(fleet_.View(host).splits.at(0).target_share, 0.0) << host;
+  }
+  EXPECT_EQ(fleet_.states("pool").back(), RolloutState::kReverted);
+}
+
+TEST_F(GatewayCoreTest, AStatusIsWrittenWhenItsFirstSpeakerCannot) {
+  // Whoever speaks first, the hosts after it take over.
+  for (std::size_t host = 0; host < kHosts; host += 2) {
+    fleet_.SetStoreFault(host, GatewayFleet::StoreFault::kRefusing);
+  }
+  fleet_.Put(RecordKind::kRollouts, "pool", "v2");
+  fleet_.Run(seconds(6));
+  EXPECT_FALSE(fleet_.states("pool").empty());
+}
+
+TEST_F(GatewayCoreTest, ADomainThatIsTakenOutIsOutEverywhere) {
+  fleet_.SetStoreFault(6, GatewayFleet::StoreFault::kSilent);
+  fleet_.Put(RecordKind::kEvacuations, "north", "");
+  fleet_.Run(seconds(2));
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EXPECT_TRUE(
+        fleet_.View(host).evacuated.contains(FailureDomainId("north")));
+  }
+  fleet_.Remove(RecordKind::kEvacuations, "north");
+  fleet_.Run(milliseconds(500));
+  EXPECT_TRUE(fleet_.View(0).evacuated.empty());
+  for (const UsableBackend& backend : fleet_.View(0).backends) {
+    EXPECT_GT(backend.cold_until, fleet_.now());
+  }
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/gateway/placing_hints_test.cc
@@ -0,0 +1,85 @@
+#include <gtest/gtest.h>
+
+#include "libzinniastep/gateway/front_advice.h"
+#include "libzinniastep/gateway/model_ladder.h"
+#include "libzinniastep/gateway/prompt_shape.h"
+#include "libzinniastep/gateway/traffic_policy.h"
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+namespace {
+
+TEST(PromptShape, SeparatesSharedPartsFromTheRequestsOwn) {
+  const PromptShape shape =
+      ReadPromptShape("5c1e:800,91bd:410,e440:250", "1460,80");
+  EXPECT_EQ(shape.shared_tokens, 1210.0);
+  EXPECT_EQ(shape.prompt_tokens, 1460.0);
+  EXPECT_EQ(shape.output_tokens, 80.0);
+  EXPECT_EQ(shape.shared,
+            ReadPromptShape("5c1e:800,91bd:410,ffff:9", "").shared);
+  EXPECT_NE(shape.shared, ReadPromptShape("5c1e:800,ffff:9", "").shared);
+  EXPECT_NE(shape.own, ReadPromptShape("ffff:9", "").own);
+  EXPECT_EQ(ReadPromptShape("ffff:9", "").shared, 0U);
+}
+
+TEST(PromptShape, WhatCannotBeReadIsNoHint) {
+  const PromptShape shape = ReadPromptShape(",,:x", "a,b");
+  EXPECT_EQ(shape.prompt_tokens, 0.0);
+  EXPECT_EQ(shape.shared_tokens, 0.0);
+}
+
+TEST(ModelLadder, AsksAgainWhenTheSmallestDoubtsItself) {
+  const LadderState idle{3, 0.2, 2};
+  EXPECT_EQ(FirstModel(idle), 0U);
+  EXPECT_EQ(NextModel(idle, 0, 20), 2U);
+  EXPECT_FALSE(NextModel(idle, 0, 80).has_value());
+  EXPECT_FALSE(NextModel(idle, 2, 0).has_value()) << "none is larger";
+}
+
+TEST(ModelLadder, FullServersAnswerWithWhatTheyHave) {
+  EXPECT_FALSE(NextModel({3, 1.5, 2}, 0, 0).has_value());
+  EXPECT_FALSE(NextModel({3, 0.2, 0}, 0, 0).has_value()) << "no send is left";
+}
+
+TEST(ModelLadder, UrgencyStaysWithinTheEnginesRange) {
+  EXPECT_LT(EngineUrgency(0), EngineUrgency(1));
+  EXPECT_LE(EngineUrgency(1000), 9U);
+}
+
+TEST(FrontAdvice, NamesTheRegionsHostsUnlessTheyAreTooFew) {
+  TrafficView view;
+  view.fronts = {{"a", FailureDomainId("north"), RegionId("here")},
+                 {"b", FailureDomainId("south"), RegionId("here")},
+                 {"c", FailureDomainId("far"), RegionId("there")}};
+  EXPECT_EQ(AdviseFronts(view, RegionId("here")),
+            (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(AdviseFronts(view, RegionId("there")).size(), 3U);
+  EXPECT_EQ(AdviseFronts(view, RegionId("")).size(), 3U);
+}
+
+TEST(FrontAdvice, NamesNoMoreThanCallersTake) {
+  TrafficView view;
+  for (int host = 0; host < 200; ++host) {
+    view.fronts.push_back({std::to_string(host), FailureDomainId("north"),
+                           RegionId("here")});
+  }
+  EXPECT_EQ(AdviseFronts(view, RegionId("here")).size(), kMostAdvisedFronts);
+}
+
+TEST(TrafficPolicy, TheLongestPrefixOfTheHostWins) {
+  ForwardingRoute wide;
+  wide.name = "wide";
+  wide.host = "x";
+  wide.path_prefix = "/a/";
+  ForwardingRoute narrow = wide;
+  narrow.name = "narrow";
+  narrow.path_prefix = "/a/b/";
+  const TrafficPolicy policy(1, {wide, narrow}, {}, {}, {});
+  EXPECT_EQ(policy.FindRoute("x", "/a/b/c")->name, "narrow");
+  EXPECT_EQ(policy.FindRoute("x", "/a/bc")->name, "wide");
+  EXPECT_EQ(policy.FindRoute("x", "/b/"), nullptr);
+  EXPECT_EQ(policy.FindRoute("y", "/a/"), nullptr);
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/gateway/record_watcher_test.cc
@@ -0,0 +1,92 @@
+#include "libzinniastep/gateway/record_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+namespace {
+
+auto Watcher() -> RecordWatcher {
+  return {RecordKind::kConfiguration, WatcherLimits(), 1};
+}
+
+TEST(RecordWatcher, ListsAllPagesThenWatchesFromTheFirstOne) {
+  RecordWatcher watcher = Watcher();
+  auto read = watcher.NextRead(At(0));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_TRUE(std::get<ListRecords>(*read).after.empty());
+  EXPECT_FALSE(watcher.NextRead(At(0)).has_value()) << "one read at a time";
+  EXPECT_FALSE(
+      watcher.OnResult(At(5), RecordPage{{{"a", 3, ""}}, true, 10}));
+  read = watcher.NextRead(At(5));
+  EXPECT_EQ(std::get<ListRecords>(*read).after, "a");
+  const auto whole =
+      watcher.OnResult(At(10), RecordPage{{{"b", 12, ""}}, false, 13});
+  ASSERT_TRUE(whole.has_value());
+  EXPECT_EQ(whole->as_of, 10U);
+  EXPECT_EQ(whole->records.size(), 2U);
+  EXPECT_EQ(std::get<WatchRecords>(*watcher.NextRead(At(10))).after, 10U);
+}
+
+TEST(RecordWatcher, WatchesOnFromWhereItIs) {
+  RecordWatcher watcher = Watcher();
+  (void)watcher.NextRead(At(0));
+  (void)watcher.OnResult(At(1), RecordPage{{}, false, 10});
+  (void)watcher.NextRead(At(1));
+  (void)watcher.OnResult(At(100), RecordChanges{{}, 14});
+  EXPECT_EQ(std::get<WatchRecords>(*watcher.NextRead(At(100))).after, 14U);
+}
+
+// A store that is away for long must not be asked without a pause: with reads
+// that fail at once, a busy loop would make thousands of calls.
+TEST(RecordWatcher, AsksAFailingStoreAtABoundedRate) {
+  RecordWatcher watcher = Watcher();
+  int reads = 0;
+  for (int time = 0; time < 60'000; ++time) {
+    if (watcher.NextRead(At(time)).has_value()) {
+      ++reads;
+      (void)watcher.OnResult(At(time), ReadFailed{true});
+    }
+  }
+  // At most one read in half the longest pause, beside the first few.
+  EXPECT_LE(reads, 60 * 2 + 6);
+  EXPECT_GE(reads, 60);
+}
+
+TEST(RecordWatcher, LostHistoryLeadsToANewList) {
+  RecordWatcher watcher = Watcher();
+  (void)watcher.NextRead(At(0));
+  (void)watcher.OnResult(At(0), RecordPage{{}, false, 10});
+  (void)watcher.NextRead(At(0));
+  (void)watcher.OnResult(At(1), HistoryGone{});
+  EXPECT_FALSE(watcher.NextRead(At(1)).has_value());
+  const auto read = watcher.NextRead(At(200));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_TRUE(std::holds_alternative<ListRecords>(*read));
+}
+
+TEST(RecordWatcher, HostsThatFailTogetherDoNotReturnTogether) {
+  RecordWatcher first(RecordKind::kConfiguration, WatcherLimits(), 1);
+  RecordWatcher second(RecordKind::kConfiguration, WatcherLimits(), 2);
+  int first_back = 0;
+  int second_back = 0;
+  (void)first.NextRead(At(0));
+  (void)second.NextRead(At(0));
+  (void)first.OnResult(At(0), ReadFailed{});
+  (void)second.OnResult(At(0), ReadFailed{});
+  for (int time = 1; time <= 200; ++time) {
+    if (first_back == 0 && first.NextRead(At(time)).has_value()) {
+      first_back = time;
+    }
+    if (second_back == 0 && second.NextRead(At(time)).has_value()) {
+      second_back = time;
+    }
+  }
+  EXPECT_GT(first_back, 0);
+  EXPECT_GT(second_back, 0);
+  EXPECT_NE(first_back, second_back);
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/gateway/rollout_guard_test.cc
@@ -0,0 +1,147 @@
+#include "libzinniastep/gateway/rollout_guard.h"
+
+#include <gtest/gtest.h>
+
+#include "libzinniastep/base/random.h"
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+namespace {
+
+constexpr std::int64_t kDurationMs = 24'000;
+
+auto Order() -> RolloutRecord {
+  RolloutRecord record;
+  record.name = "pool";
+  record.revision = 40;
+  record.created = 40;
+  record.order = {ServiceId("pool"), "v2",
+                  std::chrono::milliseconds(kDurationMs)};
+  return record;
+}
+
+auto Share(const RolloutGuard& guard) -> double {
+  return guard.splits().at(0).target_share;
+}
+
+// Plays a roll-out at 33 requests a second, of which the target fails a part.
+struct Played {
+  RolloutState state = RolloutState::kRunning;
+  std::uint64_t exposed = 0;
+  std::uint64_t exposed_in_first_half = 0;
+  std::int64_t decided_at = 0;
+};
+
+auto Play(double target_failures, double other_failures, std::uint64_t seed)
+    -> Played {
+  constexpr std::int64_t kBetweenRequestsMs = 30;
+  Random random(seed);
+  RolloutGuard guard;
+  guard.Update(At(0), {Order()});
+  VersionEvidence evidence;
+  Played played;
+  for (std::int64_t time = 0; time < kDurationMs; time += kBetweenRequestsMs) {
+    const bool to_target = random.Unit() < Share(guard);
+    VersionCounts& counts =
+        evidence[{ServiceId("pool"), to_target ? "v2" : "v1", "r"}];
+    counts.answers += 1;
+    counts.failures +=
+        random.Unit() < (to_target ? target_failures : other_failures) ? 1 : 0;
+    played.exposed += to_target ? 1 : 0;
+    played.exposed_in_first_half +=
+        to_target && time < kDurationMs / 2 ? 1 : 0;
+    guard.Judge(At(time), evidence);
+    const auto due = guard.DueWrites();
+    if (!due.empty() && due[0].state != RolloutState::kRunning) {
+      played.state = due[0].state;
+      played.decided_at = time;
+      break;
+    }
+  }
+  return played;
+}
+
+TEST(RolloutGuard, AGoodVersionCompletesInTimeAndIsNotUsedInTheFirstHalf) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const Played played = Play(0.004, 0.004, seed);
+    EXPECT_EQ(played.state, RolloutState::kComplete) << seed;
+    EXPECT_EQ(played.exposed_in_first_half, 0U) << seed;
+    EXPECT_LT(played.decided_at, kDurationMs) << seed;
+  }
+}
+
+// The deployments allow 0.15 of the requests and 30: 150 of 800 here.
+TEST(RolloutGuard, ABadVersionIsTakenBackWithinTheExposureLimit) {
+  constexpr std::uint64_t kMostExposed = 150;
+  for (const double failures : {0.2, 0.45, 0.9}) {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      const Played played = Play(failures, 0.004, seed);
+      EXPECT_EQ(played.state, RolloutState::kReverted) << failures << seed;
+      EXPECT_LE(played.exposed, kMostExposed) << failures << " " << seed;
+    }
+  }
+}
+
+TEST(RolloutGuard, FailuresThatAllVersionsShareDoNotSpeakAgainstTheTarget) {
+  int reverted = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    reverted += Play(0.1, 0.1, seed).state == RolloutState::kReverted ? 1 : 0;
+  }
+  EXPECT_LE(reverted, 20);
+}
+
+TEST(RolloutGuard, AFaultOnOneRouteIsFound) {
+  VersionEvidence evidence;
+  evidence[{ServiceId("pool"), "v1", "a"}] = {400, 2, 0, 0.0};
+  evidence[{ServiceId("pool"), "v1", "b"}] = {400, 2, 0, 0.0};
+  evidence[{ServiceId("pool"), "v2", "a"}] = {60, 0, 0, 0.0};
+  evidence[{ServiceId("pool"), "v2", "b"}] = {6, 3, 0, 0.0};
+  EXPECT_EQ(FindVersionFault(evidence, ServiceId("pool"), "v2"),
+            "failures on route b");
+}
+
+TEST(RolloutGuard, AVersionThatTakesSeveralTimesAsLongIsAFault) {
+  VersionEvidence evidence;
+  evidence[{ServiceId("pool"), "v1", "a"}] = {100, 0, 100, 0.0};
+  evidence[{ServiceId("pool"), "v2", "a"}] = {20, 0, 20, 20 * 2.0};
+  EXPECT_EQ(FindVersionFault(evidence, ServiceId("pool"), "v2"), "slow");
+}
+
+TEST(RolloutGuard, AHostThatWasRestartedTakesOverItsPeersProgress) {
+  RolloutGuard peer;
+  peer.Update(At(0), {Order()});
+  peer.Judge(At(13'000), {});
+  RolloutGuard restarted;
+  restarted.Update(At(500), {Order()});
+  EXPECT_EQ(Share(restarted), 0.0);
+  EXPECT_TRUE(
+      restarted.OnPeerProgress(At(900), peer.progress(At(13'000)).at(0)));
+  EXPECT_EQ(Share(restarted), Share(peer));
+  restarted.Judge(At(901), {});
+  EXPECT_EQ(Share(restarted), Share(peer));
+}
+
+TEST(RolloutGuard, AVerdictInTheStoreIsFinal) {
+  RolloutGuard guard;
+  RolloutRecord record = Order();
+  record.state = RolloutState::kReverted;
+  record.state_target = "v2";
+  guard.Update(At(0), {record});
+  guard.Judge(At(20'000), {});
+  EXPECT_EQ(Share(guard), 0.0);
+  EXPECT_TRUE(guard.DueWrites().empty());
+}
+
+TEST(RolloutGuard, APeersVerdictBindsAtOnce) {
+  RolloutGuard guard;
+  guard.Update(At(0), {Order()});
+  guard.Judge(At(13'000), {});
+  EXPECT_GT(Share(guard), 0.0);
+  EXPECT_TRUE(guard.OnPeerVerdict(ServiceId("pool"), "v2", 40));
+  EXPECT_EQ(Share(guard), 0.0);
+  ASSERT_EQ(guard.DueWrites().size(), 1U);
+  EXPECT_EQ(guard.DueWrites()[0].state, RolloutState::kReverted);
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/gateway/server_chooser_test.cc
@@ -0,0 +1,168 @@
+#include "libzinniastep/gateway/server_chooser.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+namespace {
+
+auto Chooser() -> ServerChooser {
+  return {HostId("h"), FailureDomainId("north"), RegionId("here")};
+}
+
+auto Need() -> ServerNeed {
+  ServerNeed need;
+  need.service = ServiceId("pool");
+  return need;
+}
+
+auto IdOf(const UsableBackend* backend) -> std::string {
+  return backend == nullptr ? std::string() : backend->entry.id.text();
+}
+
+TEST(ServerChooser, PrefersTheNearUntilItIsFuller) {
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({Backend("near"), Backend("away", "far")}));
+  EXPECT_EQ(IdOf(chooser.Choose(At(0), Need())), "near");
+  for (int request = 0; request < 5; ++request) {
+    chooser.OnBegin(BackendServerId("near"));
+  }
+  EXPECT_EQ(IdOf(chooser.Choose(At(0), Need())), "away");
+}
+
+TEST(ServerChooser, LoadThatOthersMakeCountsAndFades) {
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({Backend("a"), Backend("b")}));
+  chooser.OnLoad(At(0), BackendServerId("a"), {4, 2, 4});
+  EXPECT_EQ(IdOf(chooser.Choose(At(0), Need())), "b");
+  for (int request = 0; request < 3; ++request) {
+    chooser.OnBegin(BackendServerId("b"));
+  }
+  EXPECT_EQ(IdOf(chooser.Choose(At(10), Need())), "b");
+  EXPECT_EQ(IdOf(chooser.Choose(At(20'000), Need())), "a");
+}
+
+TEST(ServerChooser, SharedPartsMeetAtOneServerWhileItHasRoom) {
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0),
+                  View({Backend("a"), Backend("b"), Backend("c", "south")}));
+  ServerNeed need = Need();
+  need.affinity = 77;
+  need.affinity_gain_ms = 200.0;
+  const std::string home = IdOf(chooser.Choose(At(0), need));
+  for (int request = 0; request < 3; ++request) {
+    EXPECT_EQ(IdOf(chooser.Choose(At(0), need)), home);
+    chooser.OnBegin(BackendServerId(home));
+  }
+  for (int request = 0; request < 30; ++request) {
+    chooser.OnBegin(BackendServerId(home));
+  }
+  EXPECT_NE(IdOf(chooser.Choose(At(0), need)), home);
+}
+
+TEST(ServerChooser, NothingGoesToADomainThatIsTakenOutOrAnotherRegion) {
+  ServerChooser chooser = Chooser();
+  auto view = View({Backend("a"), Backend("b", "south"), Backend("c", "far")});
+  view->evacuated = {FailureDomainId("north")};
+  chooser.SetView(At(0), view);
+  ServerNeed need = Need();
+  const std::vector<RegionId> here = {RegionId("here")};
+  need.regions = here;
+  EXPECT_EQ(IdOf(chooser.Choose(At(0), need)), "b");
+  const std::vector<BackendServerId> tried = {BackendServerId("b")};
+  need.tried = tried;
+  EXPECT_EQ(chooser.Choose(At(0), need), nullptr);
+}
+
+TEST(ServerChooser, AServerThatCannotBeReachedIsLeftAloneForAWhile) {
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({Backend("a")}));
+  chooser.OnOutcome(At(0), BackendServerId("a"), SendOutcome::kNotSent);
+  EXPECT_EQ(chooser.Choose(At(1), Need()), nullptr);
+  EXPECT_EQ(IdOf(chooser.Choose(At(1000), Need())), "a");
+}
+
+// Whatever each of eight hosts sees, the sum stays within what a server in
+// cold start bears: ten a second, half more, and five.
+TEST(ServerChooser, AllHostsTogetherKeepAColdServersLimit) {
+  constexpr int kHosts = 8;
+  constexpr double kLimit = 10.0;
+  constexpr std::size_t kBears = 20;
+  BackendEntry cold = Backend("a");
+  cold.cold_left = std::chrono::seconds(10);
+  std::vector<ServerChooser> hosts;
+  for (int host = 0; host < kHosts; ++host) {
+    hosts.push_back(Chooser());
+    auto view = View({cold});
+    view->cold_rates[cold.id] = kLimit * 0.8 / kHosts;
+    hosts.back().SetView(At(0), view);
+  }
+  std::deque<int> recent;
+  std::size_t most = 0;
+  std::size_t all = 0;
+  for (int time = 0; time < 9000; ++time) {
+    for (ServerChooser& host : hosts) {
+      if (host.Choose(At(time), Need()) != nullptr) {
+        recent.push_back(time);
+        ++all;
+      }
+    }
+    while (!recent.empty() && recent.front() <= time - 1000) {
+      recent.pop_front();
+    }
+    most = std::max(most, recent.size());
+  }
+  EXPECT_LE(most, kBears);
+  EXPECT_GE(all, 60U) << "a cold server is used for what it bears";
+}
+
+TEST(ServerChooser, AColdServerWithoutAShareGetsNothing) {
+  ServerChooser chooser = Chooser();
+  BackendEntry cold = Backend("a");
+  cold.cold_left = std::chrono::seconds(3);
+  chooser.SetView(At(0), View({cold}));
+  EXPECT_EQ(chooser.Choose(At(0), Need()), nullptr);
+  EXPECT_EQ(chooser.reason(), NoServerReason::kColdLimit);
+  EXPECT_EQ(IdOf(chooser.Choose(At(3000), Need())), "a");
+}
+
+TEST(ServerChooser, ARolloutMovesSessionsForwardOnly) {
+  ServerChooser chooser = Chooser();
+  std::map<std::uint64_t, bool> moved;
+  for (const double share : {0.0, 0.1, 0.35, 1.0}) {
+    auto view = View({Backend("old"), Backend("new", "north", "v2")});
+    view->splits = {{ServiceId("pool"), "v2", share, 9}};
+    chooser.SetView(At(0), view);
+    std::size_t on_target = 0;
+    for (std::uint64_t session = 1; session <= 1000; ++session) {
+      ServerNeed need = Need();
+      need.session = session * 0x9e3779b97f4a7c15ULL;
+      const bool is_new = IdOf(chooser.Choose(At(0), need)) == "new";
+      EXPECT_TRUE(is_new || !moved[session]);
+      moved[session] = is_new;
+      on_target += is_new ? 1 : 0;
+    }
+    EXPECT_NEAR(static_cast<double>(on_target), share * 1000.0, 40.0);
+  }
+}
+
+TEST(ServerChooser, ARequestThatTheTargetFailedGoesToAnEarlierVersion) {
+  ServerChooser chooser = Chooser();
+  auto view = View({Backend("old"), Backend("new", "north", "v2")});
+  view->splits = {{ServiceId("pool"), "v2", 1.0, 9}};
+  chooser.SetView(At(0), view);
+  ServerNeed need = Need();
+  EXPECT_EQ(IdOf(chooser.Choose(At(0), need)), "new");
+  need.avoid_target = true;
+  EXPECT_EQ(IdOf(chooser.Choose(At(0), need)), "old");
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/support/gateway_fleet.cc
@@ -0,0 +1,314 @@
+#include "tests/support/gateway_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tests/support/gateway_samples.h"
+
+namespace zinniastep::testing {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kLinkDelay = std::chrono::milliseconds(5);
+
+auto Address(std::size_t host) -> std::string {
+  return "127.0.0.1:" + std::to_string(1000 + host);
+}
+
+auto Settings(std::size_t host) -> GatewaySettings {
+  GatewaySettings settings;
+  settings.host = HostId("h" + std::to_string(host));
+  settings.domain = FailureDomainId("north");
+  settings.region = RegionId("here");
+  settings.regions = {{FailureDomainId("north"), RegionId("here")}};
+  settings.peer_address = Address(host);
+  settings.caller_address = "127.0.0.1:" + std::to_string(5000 + host);
+  settings.seeds = {Address(0), Address(1)};
+  settings.leaving_time = std::chrono::milliseconds(2500);
+  return settings;
+}
+
+// Contents in these tests: a version for configurations, "DOMAIN VERSION" or
+// "draining" for backend servers, a target version for roll-outs.
+auto Decoders() -> RecordDecoders {
+  RecordDecoders decoders;
+  decoders.policy = [](const StoredRecord& record)
+      -> absl::StatusOr<std::shared_ptr<const TrafficPolicy>> {
+    if (record.content.empty()) {
+      return absl::InvalidArgumentError("empty");
+    }
+    return std::make_shared<const TrafficPolicy>(
+        std::stoull(record.content), std::vector<ForwardingRoute>(),
+        std::vector<ForwardingService>(), std::vector<ForwardingAccount>(),
+        CallerLimits());
+  };
+  decoders.backend =
+      [](const StoredRecord& record) -> absl::StatusOr<BackendEntry> {
+    if (record.content.empty()) {
+      return absl::InvalidArgumentError("empty");
+    }
+    BackendEntry entry = Backend(record.name);
+    entry.sequence = record.revision;
+    entry.draining = record.content == "draining";
+    entry.version = entry.draining ? "v1" : record.content;
+    return entry;
+  };
+  decoders.rollout =
+      [](const StoredRecord& record) -> absl::StatusOr<RolloutRecord> {
+    RolloutRecord rollout;
+    rollout.name = record.name;
+    rollout.revision = record.revision;
+    rollout.created = 7;
+    rollout.order = {ServiceId("pool"), record.content,
+                     std::chrono::seconds(20)};
+    return rollout;
+  };
+  decoders.evacuation =
+      [](const StoredRecord& record) -> absl::StatusOr<FailureDomainId> {
+    return FailureDomainId(record.name);
+  };
+  return decoders;
+}
+
+}  // namespace
+
+GatewayFleet::GatewayFleet(std::size_t hosts) : now_(At(0)), hosts_(hosts) {
+  for (std::size_t host = 0; host < hosts; ++host) {
+    Start(host);
+  }
+}
+
+auto GatewayFleet::Start(std::size_t host) -> void {
+  Host& started = hosts_[host];
+  started.incarnation += 1;
+  const GatewaySettings settings = Settings(host);
+  const Incarnation incarnation = started.incarnation * 100 + host + 1;
+  started.core = std::make_unique<GatewayCore>(
+      HostIdentity{settings.host, incarnation, settings.peer_address,
+                   settings.caller_address, settings.domain, settings.region},
+      settings, Decoders(), incarnation);
+  started.view = std::make_shared<TrafficView>();
+}
+
+auto GatewayFleet::Restart(std::size_t host) -> void {
+  Start(host);
+}
+
+auto GatewayFleet::Stop(std::size_t host) -> void {
+  hosts_[host].core.reset();
+}
+
+auto GatewayFleet::SetStoreFault(std::size_t host, StoreFault fault) -> void {
+  hosts_[host].fault = fault;
+}
+
+auto GatewayFleet::SetCut(std::size_t host, bool cut) -> void {
+  hosts_[host].cut = cut;
+}
+
+auto GatewayFleet::View(std::size_t host) const -> const TrafficView& {
+  return *hosts_[host].view;
+}
+
+auto GatewayFleet::core(std::size_t host) -> GatewayCore& {
+  return *hosts_[host].core;
+}
+
+auto GatewayFleet::states(const std::string& rollout) const
+    -> std::vector<RolloutState> {
+  const auto found = states_.find(rollout);
+  return found == states_.end() ? std::vector<RolloutState>() : found->second;
+}
+
+auto GatewayFleet::Run(Duration time) -> void {
+  const Instant end = now_ + time;
+  while (now_ < end) {
+    now_ += kStep;
+    Deliver();
+    AnswerWatches();
+    for (auto& call : std::exchange(later_, {})) {
+      call();
+    }
+    if ((now_ - At(0)) % kTick == Duration(0)) {
+      for (std::size_t host = 0; host < hosts_.size(); ++host) {
+        if (hosts_[host].core != nullptr) {
+          Feed(host, hosts_[host].core->OnTime(now_));
+        }
+      }
+    }
+  }
+}
+
+auto GatewayFleet::Feed(std::size_t host, std::vector<GatewayAction> actions)
+    -> void {
+  for (const GatewayAction& action : actions) {
+    std::visit([&](const auto& specific) { Do(host, specific); }, action);
+  }
+}
+
+auto GatewayFleet::Put(RecordKind kind,
+                       const std::string& name,
+                       const std::string& content) -> void {
+  ++revision_;
+  objects_[kind][name] = {revision_, content};
+  history_[kind].push_back({revision_, {{name, revision_, content}, false}});
+}
+
+auto GatewayFleet::Remove(RecordKind kind, const std::string& name) -> void {
+  const Stored last = objects_[kind][name];
+  objects_[kind].erase(name);
+  ++revision_;
+  history_[kind].push_back(
+      {revision_, {{name, last.revision, last.content}, true}});
+}
+
+auto GatewayFleet::ChangesAfter(RecordKind kind, std::uint64_t revision) const
+    -> std::vector<RecordChange> {
+  std::vector<RecordChange> changes;
+  const auto found = history_.find(kind);
+  if (found != history_.end()) {
+    for (const Change& change : found->second) {
+      if (change.revision > revision) {
+        changes.push_back(change.change);
+      }
+    }
+  }
+  return changes;
+}
+
+auto GatewayFleet::Answer(std::size_t host,
+                          RecordKind kind,
+                          RecordReadResult result) -> void {
+  later_.push_back([this, host, kind, result = std::move(result),
+                    incarnation = hosts_[host].incarnation] {
+    if (hosts_[host].core != nullptr &&
+        hosts_[host].incarnation == incarnation) {
+      Feed(host, hosts_[host].core->OnRead(now_, kind, result));
+    }
+  });
+}
+
+auto GatewayFleet::Do(std::size_t host, const ListRecords& action) -> void {
+  ++calls_;
+  if (hosts_[host].fault == StoreFault::kRefusing) {
+    Answer(host, action.kind, ReadFailed{true});
+    return;
+  }
+  if (hosts_[host].fault == StoreFault::kSilent) {
+    watches_.push_back({host, hosts_[host].incarnation,
+                        {action.kind, 0, {}, {}},
+                        now_ + action.timeout, true});
+    return;
+  }
+  RecordPage page;
+  page.as_of = revision_;
+  for (const auto& [name, stored] : objects_[action.kind]) {
+    page.records.push_back({name, stored.revision, stored.content});
+  }
+  Answer(host, action.kind, std::move(page));
+}
+
+auto GatewayFleet::Do(std::size_t host, const WatchRecords& action) -> void {
+  ++calls_;
+  watches_.push_back({host, hosts_[host].incarnation, action,
+                      now_ + action.wait, false});
+}
+
+auto GatewayFleet::AnswerWatches() -> void {
+  std::vector<WaitingWatch> waiting;
+  for (WaitingWatch& watch : std::exchange(watches_, {})) {
+    const Host& host = hosts_[watch.host];
+    if (host.core == nullptr || host.incarnation != watch.incarnation) {
+      continue;
+    }
+    if (host.fault == StoreFault::kSilent && !watch.lost) {
+      watch.lost = true;
+      watch.until = now_ + (watch.until - now_) + (watch.watch.timeout -
+                                                   watch.watch.wait);
+    }
+    if (host.fault == StoreFault::kRefusing || (watch.lost &&
+                                                now_ >= watch.until)) {
+      Answer(watch.host, watch.watch.kind, ReadFailed{false});
+      continue;
+    }
+    auto changes = watch.lost ? std::vector<RecordChange>()
+                              : ChangesAfter(watch.watch.kind,
+                                             watch.watch.after);
+    if (!watch.lost && (!changes.empty() || now_ >= watch.until)) {
+      Answer(watch.host, watch.watch.kind,
+             RecordChanges{std::move(changes), revision_});
+      continue;
+    }
+    waiting.push_back(std::move(watch));
+  }
+  for (WaitingWatch& watch : waiting) {
+    watches_.push_back(std::move(watch));
+  }
+}
+
+auto GatewayFleet::Do(std::size_t host, const RolloutStatusWrite& action)
+    -> void {
+  ++calls_;
+  WriteOutcome outcome = WriteOutcome::kRefused;
+  if (hosts_[host].fault == StoreFault::kNone) {
+    outcome = WriteOutcome::kDone;
+    states_[action.name].push_back(action.state);
+  }
+  later_.push_back([this, host, name = action.name, outcome,
+                    incarnation = hosts_[host].incarnation] {
+    if (hosts_[host].core != nullptr &&
+        hosts_[host].incarnation == incarnation) {
+      Feed(host, hosts_[host].core->OnStatusWritten(now_, name, outcome));
+    }
+  });
+}
+
+auto GatewayFleet::Do(std::size_t host, const RegisterHost& /*action*/)
+    -> void {
+  later_.push_back([this, host] {
+    if (hosts_[host].core != nullptr) {
+      Feed(host, hosts_[host].core->OnRegistered(now_, WriteOutcome::kDone));
+    }
+  });
+}
+
+auto GatewayFleet::Do(std::size_t /*host*/, const ReadHostList& /*action*/)
+    -> void {}
+
+auto GatewayFleet::Do(std::size_t host, const PublishView& action) -> void {
+  hosts_[host].view = action.view;
+}
+
+auto GatewayFleet::Do(std::size_t host, const SendToPeer& action) -> void {
+  for (std::size_t to = 0; to < hosts_.size(); ++to) {
+    if (Address(to) == action.address && !hosts_[host].cut &&
+        !hosts_[to].cut) {
+      const HostIdentity& self = hosts_[host].core->self();
+      letters_.push_back({now_ + kLinkDelay, to,
+                          {self.host, self.incarnation, self.peer_address},
+                          action.message});
+    }
+  }
+}
+
+auto GatewayFleet::Do(std::size_t /*host*/, const LogEvent& /*action*/)
+    -> void {}
+
+auto GatewayFleet::Deliver() -> void {
+  std::vector<Letter> later;
+  for (Letter& letter : std::exchange(letters_, {})) {
+    if (letter.due > now_) {
+      later.push_back(std::move(letter));
+    } else if (hosts_[letter.to].core != nullptr && !hosts_[letter.to].cut) {
+      Feed(letter.to, hosts_[letter.to].core->OnPeerMessage(
+                          now_, letter.from, letter.message));
+    }
+  }
+  for (Letter& letter : later) {
+    letters_.push_back(std::move(letter));
+  }
+}
+
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/support/gateway_fleet.h
@@ -0,0 +1,112 @@
+#ifndef TESTS_SUPPORT_GATEWAY_FLEET_H_
+#define TESTS_SUPPORT_GATEWAY_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libzinniastep/gateway/gateway_core.h"
+
+namespace zinniastep::testing {
+
+// Gateway hosts in virtual time, with a store and links that a test breaks.
+class GatewayFleet {
+ public:
+  explicit GatewayFleet(std::size_t hosts);
+
+  // Lets time pass in steps of ten milliseconds.
+  auto Run(Duration time) -> void;
+
+  // Writes an object into the store, or removes it.
+  auto Put(RecordKind kind, const std::string& name, const std::string& content)
+      -> void;
+  auto Remove(RecordKind kind, const std::string& name) -> void;
+
+  // Breaks the store for a host, or all hosts: calls fail at once, or are
+  // never answered.
+  enum class StoreFault { kNone, kRefusing, kSilent };
+  auto SetStoreFault(std::size_t host, StoreFault fault) -> void;
+  // Cuts all messages from and to a host.
+  auto SetCut(std::size_t host, bool cut) -> void;
+  // Ends a host and starts it anew at once, with nothing.
+  auto Restart(std::size_t host) -> void;
+  auto Stop(std::size_t host) -> void;
+
+  [[nodiscard]] auto View(std::size_t host) const -> const TrafficView&;
+  [[nodiscard]] auto core(std::size_t host) -> GatewayCore&;
+  auto Feed(std::size_t host, std::vector<GatewayAction> actions) -> void;
+  [[nodiscard]] auto now() const -> Instant { return now_; }
+  // Calls that all hosts made to the store.
+  [[nodiscard]] auto store_calls() const -> std::size_t { return calls_; }
+  // States written for a roll-out, in order.
+  [[nodiscard]] auto states(const std::string& rollout) const
+      -> std::vector<RolloutState>;
+
+ private:
+  struct Stored {
+    std::uint64_t revision = 0;
+    std::string content;
+  };
+  struct Change {
+    std::uint64_t revision = 0;
+    RecordChange change;
+  };
+  struct WaitingWatch {
+    std::size_t host = 0;
+    std::uint64_t incarnation = 0;
+    WatchRecords watch;
+    Instant until;
+    bool lost = false;
+  };
+  struct Letter {
+    Instant due;
+    std::size_t to = 0;
+    PeerRef from;
+    PeerMessage message;
+  };
+  struct Host {
+    std::unique_ptr<GatewayCore> core;
+    std::shared_ptr<const TrafficView> view;
+    StoreFault fault = StoreFault::kNone;
+    bool cut = false;
+    std::uint64_t incarnation = 0;
+  };
+
+  auto Start(std::size_t host) -> void;
+  auto Deliver() -> void;
+  auto AnswerWatches() -> void;
+  auto ChangesAfter(RecordKind kind, std::uint64_t revision) const
+      -> std::vector<RecordChange>;
+  auto Answer(std::size_t host, RecordKind kind, RecordReadResult result)
+      -> void;
+
+  auto Do(std::size_t host, const ListRecords& action) -> void;
+  auto Do(std::size_t host, const WatchRecords& action) -> void;
+  auto Do(std::size_t host, const RolloutStatusWrite& action) -> void;
+  auto Do(std::size_t host, const RegisterHost& action) -> void;
+  auto Do(std::size_t host, const ReadHostList& action) -> void;
+  auto Do(std::size_t host, const PublishView& action) -> void;
+  auto Do(std::size_t host, const SendToPeer& action) -> void;
+  auto Do(std::size_t host, const LogEvent& action) -> void;
+
+  Instant now_;
+  std::uint64_t revision_ = 1;
+  std::map<RecordKind, std::map<std::string, Stored>> objects_;
+  std::map<RecordKind, std::vector<Change>> history_;
+  std::map<std::string, std::vector<RolloutState>> states_;
+  std::vector<WaitingWatch> watches_;
+  std::vector<Letter> letters_;
+  std::vector<std::function<void()>> later_;
+  std::vector<Host> hosts_;
+  std::size_t calls_ = 0;
+};
+
+}  // namespace zinniastep::testing
+
+#endif  // TESTS_SUPPORT_GATEWAY_FLEET_H_
