Let few hosts read the store, and widen roll-outs at one moment

Ruled out: a longer watch alone (each change ends the watch of every host).

Change: above 16 hosts five read the store, all others hear from peers and read themselves when nobody's word of the store is younger than 9 s. A wider share is told 500 ms ahead and takes effect at a time. A new incarnation begins without saved requests; hosts use 0.6 of a cold limit.

--- a/src/libzinniastep/gateway/backend_entry.h
+++ b/src/libzinniastep/gateway/backend_entry.h
@@ -66,6 +66,9 @@
   double target_share = 0.0;
   // Names the order, so that another order draws other sessions.
   std::uint64_t order = 0;
+  // The share from a time on, told ahead so that hosts change together.
+  double next_share = 0.0;
+  Instant next_from;
 };
 
 // Where a peer serves callers.
--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -20,6 +20,13 @@
 constexpr Duration kLeavingReserve = std::chrono::milliseconds(600);
 // A fleet with this many hosts or fewer tells all peers at once.
 constexpr std::size_t kSmallFleet = 16;
+// Hosts of a larger fleet that read the store for all: any two may be lost
+// together with a failure domain, and calls do not grow with the fleet.
+constexpr std::size_t kReaders = 5;
+constexpr char kReadersName[] = "store readers";
+// Without word of a peer that heard from the store for this long, a host reads
+// it itself: longer than a reader's watch and the way of its answer.
+constexpr Duration kLongestWithoutWord = std::chrono::seconds(9);
 // Peers that a change is told to in a larger fleet, each of which tells as
 // many: 2,000 hosts are reached in seven steps.
 constexpr std::size_t kChangeFanOut = 4;
@@ -36,11 +43,11 @@
 constexpr Duration kEvidenceLifetime = std::chrono::minutes(2);
 // Part of a cold server's limit that all hosts use together; the rest is for
 // hosts that disagree on how many they are.
-constexpr double kColdShareUsed = 0.8;
+constexpr double kColdShareUsed = 0.6;
 // A host that has not met its peers yet takes this much of a cold server.
 constexpr double kColdRateAlone = 0.4;
 // With less than this a second each, few hosts share a cold server's limit.
-constexpr double kLeastColdRate = 0.8;
+constexpr double kLeastColdRate = 0.5;
 constexpr std::size_t kMostColdSharers = 4;
 // How long servers stay cold when a failure domain is taken back and the
 // service says nothing of it.
@@ -113,7 +120,17 @@
   return Take(now);
 }
 
+auto GatewayCore::ReadsStore(Instant now) const -> bool {
+  // Without a view, or without word from peers who read, each host does.
+  return !published_ || membership_.live_hosts().size() <= kSmallFleet ||
+         RankFor(kReadersName) < kReaders ||
+         now - peers_word_.at > kLongestWithoutWord;
+}
+
 auto GatewayCore::StartReads(Instant now) -> void {
+  if (!ReadsStore(now)) {
+    return;
+  }
   for (RecordWatcher& watcher : watchers_) {
     if (auto read = watcher.NextRead(now)) {
       std::visit([this](auto& specific) { actions_.emplace_back(specific); },
@@ -144,6 +161,9 @@
                  {{"kind", std::to_string(static_cast<int>(kind))},
                   {"failures", std::to_string(failures_before)}}});
   }
+  if (!std::holds_alternative<ReadFailed>(result)) {
+    own_word_ = now;
+  }
   if (changed) {
     Records(now, kind);
     SendToSome(kChangeFanOut, Digest(now));
@@ -219,6 +239,33 @@
     }
   }
   unreadable_ = std::move(unreadable);
+  for (const BackendEntry& entry : entries) {
+    const auto known = listed_.find(entry.id);
+    if (known == listed_.end() || known->second != entry) {
+      actions_.emplace_back(
+          LogEvent{"backend_server_listed",
+                   {{"server", entry.id.text()},
+                    {"version", entry.version},
+                    {"draining", entry.draining ? "yes" : "no"},
+                    {"cold_ms",
+                     std::to_string(
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             entry.cold_left)
+                             .count())},
+                    {"started", std::to_string(entry.started)},
+                    {"sequence", std::to_string(entry.sequence)}}});
+    }
+  }
+  for (const auto& [id, entry] : listed_) {
+    if (std::ranges::find(entries, id, &BackendEntry::id) == entries.end()) {
+      actions_.emplace_back(
+          LogEvent{"backend_server_unlisted", {{"server", id.text()}}});
+    }
+  }
+  listed_.clear();
+  for (const BackendEntry& entry : entries) {
+    listed_.emplace(entry.id, entry);
+  }
   roster_.Update(now, entries);
 }
 
@@ -323,9 +370,21 @@
 auto GatewayCore::Handle(Instant now,
                          const PeerRef& from,
                          const HostDigest& digest) -> void {
+  bool progressed = false;
   for (const RolloutProgress& progress : digest.rollouts) {
-    dirty_ = rollouts_.OnPeerProgress(now, progress) || dirty_;
+    progressed = rollouts_.OnPeerProgress(now, progress) || progressed;
   }
+  if (progressed) {
+    dirty_ = true;
+    SendToSome(kChangeFanOut, Digest(now));
+  }
+  if (digest.store_reader != self_.host && !digest.store_reader.empty()) {
+    const Instant heard = now - std::chrono::milliseconds(digest.store_age_ms);
+    if (heard > peers_word_.at) {
+      peers_word_ = {digest.store_reader, heard};
+    }
+  }
+  bool asks = false;
   for (const RecordKind kind : kAllKinds) {
     if (!mirror_.IsNewer(kind,
                          digest.kinds.at(static_cast<std::size_t>(kind)))) {
@@ -334,10 +393,14 @@
     const auto known = newer_elsewhere_.find(kind);
     if (known == newer_elsewhere_.end()) {
       newer_elsewhere_[kind] = {from, now};
+      asks = true;
     } else {
       known->second.peer = from;
     }
   }
+  if (asks && !ReadsStore(now)) {
+    AskForNewer(now);
+  }
 }
 
 auto GatewayCore::Handle(Instant /*now*/,
@@ -418,10 +481,13 @@
 
 auto GatewayCore::AskForNewer(Instant now) -> void {
   for (auto& [kind, newer] : newer_elsewhere_) {
-    if (now - newer.since < kWatchHeadStart) {
+    const Duration pause =
+        ReadsStore(now) || newer.asked ? kWatchHeadStart : Duration(0);
+    if (now - newer.since < pause) {
       continue;
     }
     newer.since = now;
+    newer.asked = true;
     actions_.emplace_back(
         SendToPeer{newer.peer.host, newer.peer.address,
                    PeerMessage(GatewayMessage(RecordsRequest{kind}))});
@@ -441,6 +507,13 @@
   for (const RecordKind kind : kAllKinds) {
     digest.kinds.at(static_cast<std::size_t>(kind)) = mirror_.Digest(kind);
   }
+  const bool own_is_newer = own_word_ >= peers_word_.at;
+  const Instant heard = own_is_newer ? own_word_ : peers_word_.at;
+  digest.store_reader = own_is_newer ? self_.host : peers_word_.reader;
+  digest.store_age_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - heard)
+          .count(),
+      0));
   digest.rollouts = rollouts_.progress(now);
   return digest;
 }
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -89,6 +89,12 @@
   struct NewerElsewhere {
     PeerRef peer;
     Instant since;
+    bool asked = false;
+  };
+  // A host that the store answered, and when.
+  struct StoreWord {
+    HostId reader;
+    Instant at;
   };
   struct PendingWrite {
     Instant due_since;
@@ -102,6 +108,8 @@
   auto ReadRollouts(Instant now) -> void;
   auto ReadEvacuations(Instant now) -> void;
 
+  // Whether this host reads the store, or hears of it from peers that do.
+  [[nodiscard]] auto ReadsStore(Instant now) const -> bool;
   auto StartReads(Instant now) -> void;
   auto SpreadDigests(Instant now) -> void;
   auto AskForNewer(Instant now) -> void;
@@ -157,6 +165,8 @@
   // When each version of a service was first listed.
   std::map<std::pair<ServiceId, std::string>, Instant> version_seen_;
   std::set<std::string> unreadable_;
+  // The backend servers as last listed, to log what changes.
+  std::map<BackendServerId, BackendEntry> listed_;
   std::vector<GatewayAction> actions_;
   std::uint64_t hosts_revision_ = 0;
   std::size_t most_hosts_ = 0;
@@ -167,6 +177,9 @@
   bool evidence_changed_ = false;
   bool leaving_ = false;
   std::optional<Instant> started_;
+  // When the store last answered this host, and another one by what peers say.
+  Instant own_word_;
+  StoreWord peers_word_;
   Instant next_register_;
   Instant next_digest_;
   Instant next_evidence_;
--- a/src/libzinniastep/gateway/messages.h
+++ b/src/libzinniastep/gateway/messages.h
@@ -19,13 +19,17 @@
 struct HostDigest {
   std::array<RecordDigest, kRecordKinds> kinds;
   std::vector<RolloutProgress> rollouts;
+  // The host that the store answered last as far as the sender knows, and how
+  // long ago.
+  HostId store_reader;
+  std::uint64_t store_age_ms = 0;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     for (RecordDigest& digest : kinds) {
       archive(digest);
     }
-    archive(rollouts);
+    archive(rollouts, store_reader, store_age_ms);
   }
 };
 
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -57,9 +57,9 @@
 
 // How a kind is read.
 struct WatcherLimits {
-  // Longest wait of one watch. Twenty seconds keep the calls of an idle host
-  // to a few a minute.
-  Duration watch_wait = std::chrono::seconds(20);
+  // Longest wait of one watch. Each is a priced call, and tells the fleet that
+  // the store is there.
+  Duration watch_wait = std::chrono::seconds(6);
   // A waiting watch is cut this long after its wait.
   Duration watch_slack = std::chrono::milliseconds(1500);
   Duration list_timeout = std::chrono::milliseconds(1500);
--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -21,6 +21,9 @@
 };
 constexpr std::array<Stage, 3> kStages = {
     {{0.52, 0.1, 0}, {0.66, 0.35, 6}, {0.76, 1.0, 16}}};
+// Time between the decision to widen a part and its effect: a change reaches
+// all hosts in some steps from peer to peer.
+constexpr Duration kShareNotice = std::chrono::milliseconds(500);
 // Where a roll-out without a fault is complete; what is left of its duration
 // covers a store that is away for some seconds.
 constexpr double kCompleteFrom = 0.88;
@@ -106,6 +109,8 @@
     if (is_new) {
       rollout.began = now;
       rollout.share = 0.0;
+      rollout.next_share = 0.0;
+      rollout.next_at = Duration(0);
       rollout.state = RolloutState::kRunning;
       rollout.reason.clear();
     }
@@ -138,14 +143,23 @@
       target.Add(counts);
     }
   }
+  const Duration elapsed = now - rollout.began;
   const double progress =
-      std::chrono::duration<double>(now - rollout.began) /
+      std::chrono::duration<double>(elapsed) /
       std::chrono::duration<double>(std::max(order.duration, Duration(1)));
+  double wanted = 0.0;
   for (const Stage& stage : kStages) {
     if (progress >= stage.from && target.answers >= stage.answers) {
-      rollout.share = std::max(rollout.share, stage.share);
+      wanted = std::max(wanted, stage.share);
     }
   }
+  if (wanted > rollout.next_share) {
+    rollout.next_share = wanted;
+    rollout.next_at = elapsed + kShareNotice;
+  }
+  if (elapsed >= rollout.next_at) {
+    rollout.share = rollout.next_share;
+  }
   if (progress >= kCompleteFrom && rollout.share >= 1.0) {
     rollout.state = RolloutState::kComplete;
     rollout.reason = "no fault in " + std::to_string(target.answers);
@@ -159,8 +173,10 @@
       continue;
     }
     const double share = rollout.share;
+    const double next_share = rollout.next_share;
     Advance(now, evidence, rollout);
     changed = changed || share != rollout.share ||
+              next_share != rollout.next_share ||
               rollout.state != RolloutState::kRunning;
   }
   return changed;
@@ -198,6 +214,16 @@
       rollout.share = progress.share;
       changed = true;
     }
+    const Duration next_at = std::chrono::milliseconds(progress.next_at_ms);
+    if (progress.next_share <= 1.0 &&
+        (progress.next_share > rollout.next_share ||
+         (progress.next_share == rollout.next_share &&
+          next_at < rollout.next_at))) {
+      rollout.next_share = progress.next_share;
+      rollout.next_at = next_at;
+      changed = true;
+    }
+    rollout.next_share = std::max(rollout.next_share, rollout.share);
   }
   return changed;
 }
@@ -229,8 +255,11 @@
     } else if (rollout.state == RolloutState::kReverted) {
       share = 0.0;
     }
-    splits.push_back(
-        {order.service, order.target_version, share, rollout.record.created});
+    const bool is_running = rollout.state == RolloutState::kRunning;
+    splits.push_back({order.service, order.target_version, share,
+                      rollout.record.created,
+                      is_running ? rollout.next_share : share,
+                      rollout.began + rollout.next_at});
   }
   return splits;
 }
--- a/src/libzinniastep/gateway/rollout_guard.h
+++ b/src/libzinniastep/gateway/rollout_guard.h
@@ -58,9 +58,9 @@
                      const std::string& target_version,
                      std::uint64_t order) -> bool;
 
-  // Takes over a peer's time and share where they are ahead, so that a host
-  // that was restarted meanwhile does not begin anew. Returns whether the
-  // share changed.
+  // Takes over a peer's time and shares where they are ahead, so that a host
+  // that was restarted meanwhile does not begin anew. Returns whether that was
+  // news, which other peers should hear.
   auto OnPeerProgress(Instant now, const RolloutProgress& progress) -> bool;
 
   // Returns how far this host is with the roll-outs under way.
@@ -82,6 +82,9 @@
     RolloutRecord record;
     Instant began;
     double share = 0.0;
+    // The part in force from a time after `began` on; no less than `share`.
+    double next_share = 0.0;
+    Duration next_at{0};
     RolloutState state = RolloutState::kRunning;
     std::string reason;
   };
--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -90,6 +90,7 @@
 
 auto ServerChooser::AllowedBySplit(const UsableBackend& backend,
                                    const ServerNeed& need,
+                                   Instant now,
                                    bool target_is_out) const -> bool {
   for (const RolloutSplit& split : view_->splits) {
     if (split.service != need.service) {
@@ -98,8 +99,11 @@
     const std::uint64_t draw =
         StableHash(split.target_version, need.session ^ split.order);
     const double place = static_cast<double>(draw >> 11U) * 0x1.0p-53;
+    const double share = now >= split.next_from
+                             ? std::max(split.target_share, split.next_share)
+                             : split.target_share;
     const bool to_target =
-        !target_is_out && !need.avoid_target && place < split.target_share;
+        !target_is_out && !need.avoid_target && place < share;
     return (backend.entry.version == split.target_version) == to_target;
   }
   return true;
@@ -116,7 +120,7 @@
       std::ranges::find(need.tried, backend.entry.id) != need.tried.end()) {
     return false;
   }
-  if (!AllowedBySplit(backend, need, target_is_out)) {
+  if (!AllowedBySplit(backend, need, now, target_is_out)) {
     return false;
   }
   const auto knowledge = knowledge_.find(backend.entry.id);
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -109,7 +109,9 @@
     Instant avoid_until;
     Instant last_progress;
     // Cold limit: what may still go in now, and when that was worked out.
-    double cold_tokens = 1.0;
+    // A new incarnation begins with none: requests to the one before may have
+    // reached it.
+    double cold_tokens = 0.0;
     Instant cold_at;
     // It could not be reached, so that it may come back as another, cold
     // incarnation before the list says so.
@@ -131,6 +133,7 @@
   // its sessions use the versions before.
   [[nodiscard]] auto AllowedBySplit(const UsableBackend& backend,
                                     const ServerNeed& need,
+                                    Instant now,
                                     bool target_is_out) const -> bool;
   [[nodiscard]] auto Candidates(Instant now, const ServerNeed& need) const
       -> std::vector<const UsableBackend*>;
