Test forwarding against scripted backend servers, and the platform's records

Change: fourteen tests with real sockets on loopback (unchanged requests, framing, at most once, true refusals, crossed and extra answers, resumed streams, cascades, callers that leave) and six of what the platform's objects and calls mean. The linter's findings in the new code are mended.

--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -111,27 +111,28 @@
       [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
         engine_.OnRequest(std::move(caller), std::move(request));
       });
-  status.Update(listen(
-      ready_, settings_.ready_address,
-      [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
-        caller->Answer(
-            binding_.answer_ready(request, engine_.is_ready() && !leaving_));
-      }));
-  status.Update(listen(
-      directory_, settings_.directory_address,
-      [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
-        caller->Answer(binding_.answer_directory(
-            request, engine_.view(), settings_.longest_address_lifetime));
-      }));
+  status.Update(listen(ready_, settings_.ready_address,
+                       [this](const std::shared_ptr<CallerConnection>& caller,
+                              const CallerRequest& request) {
+                         caller->Answer(binding_.answer_ready(
+                             request, engine_.is_ready() && !leaving_));
+                       }));
+  status.Update(listen(directory_, settings_.directory_address,
+                       [this](const std::shared_ptr<CallerConnection>& caller,
+                              const CallerRequest& request) {
+                         caller->Answer(binding_.answer_directory(
+                             request, engine_.view(),
+                             settings_.longest_address_lifetime));
+                       }));
   if (!settings_.metrics_address.empty()) {
-    status.Update(
-        listen(metrics_listener_, settings_.metrics_address,
-               [this](std::shared_ptr<CallerConnection> caller, CallerRequest) {
-                 WholeAnswer answer(http::status::ok, 11);
-                 answer.set(http::field::content_type, "text/plain");
-                 answer.body() = metrics_.Text();
-                 caller->Answer(std::move(answer));
-               }));
+    status.Update(listen(metrics_listener_, settings_.metrics_address,
+                         [this](const std::shared_ptr<CallerConnection>& caller,
+                                const CallerRequest&) {
+                           WholeAnswer answer(http::status::ok, 11);
+                           answer.set(http::field::content_type, "text/plain");
+                           answer.body() = metrics_.Text();
+                           caller->Answer(std::move(answer));
+                         }));
   }
   if (!status.ok()) {
     return status;
@@ -200,7 +201,7 @@
   WriteLog(event);
 }
 
-auto GatewayDaemon::Do(std::vector<GatewayAction> actions) -> void {
+auto GatewayDaemon::Do(const std::vector<GatewayAction>& actions) -> void {
   for (const GatewayAction& action : actions) {
     std::visit([this](const auto& specific) { Execute(specific); }, action);
   }
--- a/src/libzinniastep/traffic/gateway_daemon.h
+++ b/src/libzinniastep/traffic/gateway_daemon.h
@@ -76,7 +76,7 @@
   auto Run() -> void;
   auto TickControl() -> void;
   auto TickTraffic() -> void;
-  auto Do(std::vector<GatewayAction> actions) -> void;
+  auto Do(const std::vector<GatewayAction>& actions) -> void;
   auto OnPeerBytes(std::string_view bytes) -> void;
   auto Write(const LogEvent& event) -> void;
   auto WaitForRequests(std::chrono::steady_clock::time_point until) -> void;
--- a/src/libzinniastep/traffic/http_listener.cc
+++ b/src/libzinniastep/traffic/http_listener.cc
@@ -40,8 +40,7 @@
 HttpListener::HttpListener(asio::io_context& io,
                            LimitsSource limits,
                            CallerConnection::Handler handler)
-    : io_(io),
-      acceptor_(io),
+    : acceptor_(io),
       accept_pause_(io),
       limits_(std::move(limits)),
       handler_(std::move(handler)) {}
--- a/src/libzinniastep/traffic/http_listener.h
+++ b/src/libzinniastep/traffic/http_listener.h
@@ -52,7 +52,6 @@
   auto Accept() -> void;
   auto Prune() -> void;
 
-  boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_pause_;
   LimitsSource limits_;
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -141,8 +141,8 @@
   }
 }
 
-auto GatewayFleet::Feed(std::size_t host, std::vector<GatewayAction> actions)
-    -> void {
+auto GatewayFleet::Feed(std::size_t host,
+                        const std::vector<GatewayAction>& actions) -> void {
   for (const GatewayAction& action : actions) {
     std::visit([&](const auto& specific) { Do(host, specific); }, action);
   }
@@ -243,10 +243,10 @@
              RecordChanges{std::move(changes), revision_});
       continue;
     }
-    waiting.push_back(std::move(watch));
+    waiting.push_back(watch);
   }
-  for (WaitingWatch& watch : waiting) {
-    watches_.push_back(std::move(watch));
+  for (const WaitingWatch& watch : waiting) {
+    watches_.push_back(watch);
   }
 }
 
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -40,7 +40,8 @@
 
   [[nodiscard]] auto View(std::size_t host) const -> const TrafficView&;
   [[nodiscard]] auto core(std::size_t host) -> GatewayCore&;
-  auto Feed(std::size_t host, std::vector<GatewayAction> actions) -> void;
+  auto Feed(std::size_t host, const std::vector<GatewayAction>& actions)
+      -> void;
   [[nodiscard]] auto now() const -> Instant { return now_; }
   // Calls that all hosts made to the store.
   [[nodiscard]] auto store_calls() const -> std::size_t { return calls_; }
--- /dev/null
+++ b/tests/traffic/engine_host.cc
@@ -0,0 +1,135 @@
+#include "tests/traffic/engine_host.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "libzinniastep/traffic/http_text.h"
+#include "platform/caller_calls.h"
+#include "tests/process/child_process.h"
+
+namespace zinniastep::testing {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+auto Route(const std::string& prefix) -> ForwardingRoute {
+  ForwardingRoute route;
+  route.name = prefix;
+  route.host = "x.example";
+  route.path_prefix = prefix;
+  route.timeout = std::chrono::seconds(20);
+  route.target_latency = std::chrono::seconds(8);
+  route.most_servers = 3;
+  route.split = {{ServiceId("pool"), 1.0}};
+  return route;
+}
+
+auto Policy() -> std::shared_ptr<const TrafficPolicy> {
+  ForwardingRoute once = Route("/once/");
+  ForwardingRoute idem = Route("/idem/");
+  idem.repeat_rule = RepeatRule::kIdempotent;
+  ForwardingRoute generate = Route("/gen/");
+  generate.streaming = true;
+  generate.resumable = true;
+  generate.models = {"small", "large"};
+  ForwardingService service;
+  service.id = ServiceId("pool");
+  ForwardingAccount account;
+  account.id = ClientAccountId("farm");
+  account.keys = {"k"};
+  return std::make_shared<const TrafficPolicy>(
+      1, std::vector{once, idem, generate}, std::vector{service},
+      std::vector{account}, CallerLimits());
+}
+
+}  // namespace
+
+EngineHost::EngineHost(const std::vector<const ScriptedServer*>& servers)
+    : work_(io_.get_executor()) {
+  GatewaySettings settings;
+  settings.host = HostId("h");
+  settings.domain = FailureDomainId("north");
+  settings.region = RegionId("here");
+  settings.repeat_share = 1.0;
+  settings.repeat_slack = 50.0;
+  engine_ = std::make_unique<TrafficEngine>(
+      io_, settings, platform::Headers(), metrics_, [](const LogEvent&) {}, 1);
+  auto view = std::make_shared<TrafficView>();
+  view->policy = Policy();
+  for (std::size_t index = 0; index < servers.size(); ++index) {
+    BackendEntry entry;
+    entry.id = BackendServerId("s" + std::to_string(index));
+    entry.service = ServiceId("pool");
+    entry.address = servers[index]->address();
+    entry.domain = FailureDomainId("north");
+    entry.slots = 8;
+    view->backends.push_back({entry, Instant()});
+  }
+  engine_->SetView(view);
+  auto listener = HttpListener::Start(
+      io_, "127.0.0.1:0", [this] { return engine_->Limits(); },
+      [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
+        engine_->OnRequest(std::move(caller), std::move(request));
+      });
+  listener_ = *std::move(listener);
+  port_ = listener_->port();
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+EngineHost::~EngineHost() {
+  io_.stop();
+  thread_.join();
+}
+
+auto EngineHost::Request(const std::string& path,
+                         const std::string& extra_headers,
+                         const std::string& body) -> std::string {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: x.example\r\nAuthorization: Token k\r\n"
+         "Zinniastep-Attempt-Id: a1\r\nZinniastep-Time-Remaining-Ms: "
+         "15000\r\n" +
+         extra_headers + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+auto EngineHost::Call(const std::string& request) -> CallerAnswer {
+  asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+  asio::write(socket, asio::buffer(request));
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  boost::system::error_code error;
+  http::read(socket, buffer, parser, error);
+  CallerAnswer answer;
+  if (parser.is_header_done()) {
+    answer.status = static_cast<int>(parser.get().result_int());
+    answer.head = HeadText(parser.get().base());
+  }
+  answer.whole = !error && parser.is_done();
+  answer.body = parser.get().body();
+  return answer;
+}
+
+auto EngineHost::CallAndLeave(const std::string& request,
+                              const std::function<bool()>& left) -> void {
+  asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+  asio::write(socket, asio::buffer(request));
+  while (!left()) {
+    PauseBetweenLooks();
+  }
+  socket.close();
+}
+
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/traffic/engine_host.h
@@ -0,0 +1,66 @@
+#ifndef TESTS_TRAFFIC_ENGINE_HOST_H_
+#define TESTS_TRAFFIC_ENGINE_HOST_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "libzinniastep/runtime/metrics.h"
+#include "libzinniastep/traffic/http_listener.h"
+#include "libzinniastep/traffic/traffic_engine.h"
+#include "tests/traffic/scripted_server.h"
+
+namespace zinniastep::testing {
+
+// An answer as a caller got it.
+struct CallerAnswer {
+  int status = 0;
+  std::string head;
+  std::string body;
+  // The body came to its end by its length or last chunk.
+  bool whole = false;
+};
+
+// A traffic engine with its listener on loopback, in front of scripted servers.
+// Routes: "/once/" (at most once), "/idem/" (idempotent) and "/gen/"
+// (resumable streams with a cascade of "small" and "large").
+class EngineHost {
+ public:
+  explicit EngineHost(const std::vector<const ScriptedServer*>& servers);
+  EngineHost(const EngineHost&) = delete;
+  auto operator=(const EngineHost&) -> EngineHost& = delete;
+  ~EngineHost();
+
+  // Sends bytes on a new connection and reads one answer.
+  auto Call(const std::string& request) -> CallerAnswer;
+
+  // Sends bytes and leaves when `left` says so.
+  auto CallAndLeave(const std::string& request,
+                    const std::function<bool()>& left) -> void;
+
+  // A request of an account with the key "k".
+  static auto Request(const std::string& path,
+                      const std::string& extra_headers = "",
+                      const std::string& body = "x") -> std::string;
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  Metrics metrics_;
+  std::unique_ptr<TrafficEngine> engine_;
+  std::unique_ptr<HttpListener> listener_;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+}  // namespace zinniastep::testing
+
+#endif  // TESTS_TRAFFIC_ENGINE_HOST_H_
--- /dev/null
+++ b/tests/traffic/forwarding_test.cc
@@ -0,0 +1,226 @@
+#include <atomic>
+#include <sstream>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "tests/process/child_process.h"
+#include "tests/traffic/engine_host.h"
+#include "tests/traffic/scripted_server.h"
+
+namespace zinniastep::testing {
+namespace {
+
+auto Answer(const std::string& status,
+            const std::string& headers,
+            const std::string& body) -> std::string {
+  return "HTTP/1.1 " + status +
+         "\r\nZinniastep-Attempt-Id: a1\r\nZinniastep-Server-Signature: s\r\n" +
+         headers + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+auto StreamHead(const std::string& headers = "") -> std::string {
+  return "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
+         "Zinniastep-Server-Signature: s\r\nContent-Type: "
+         "text/event-stream\r\n" +
+         headers + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+auto Chunk(const std::string& text) -> std::string {
+  std::ostringstream chunk;
+  chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
+  return chunk.str();
+}
+
+auto Event(int id) -> std::string {
+  return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) +
+         "\n\n";
+}
+
+constexpr char kLastChunk[] = "0\r\n\r\n";
+
+TEST(Forwarding, ARequestGoesOnUnchangedButForWhatTheSystemSets) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "hi")};
+  });
+  EngineHost host({&server});
+  const CallerAnswer answer =
+      host.Call(EngineHost::Request("/once/a?z=1&a=%2F&m",
+                                    "X-Own: 1\r\nZinniastep-Tenant: forged\r\n"
+                                    "Connection: X-Hop\r\nX-Hop: 1\r\n"));
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "hi");
+  ASSERT_EQ(server.requests().size(), 1U);
+  const std::string sent = server.requests()[0];
+  EXPECT_TRUE(sent.starts_with("POST /once/a?z=1&a=%2F&m HTTP/1.1\r\n"))
+      << sent;
+  EXPECT_EQ(HeaderOf(sent, "X-Own"), "1");
+  EXPECT_EQ(HeaderOf(sent, "Zinniastep-Tenant"), "farm");
+  EXPECT_EQ(HeaderOf(sent, "Zinniastep-Expect-Instance"), "s0");
+  EXPECT_EQ(HeaderOf(sent, "Authorization"), "");
+  EXPECT_EQ(HeaderOf(sent, "X-Hop"), "");
+  EXPECT_LE(std::stoi(HeaderOf(sent, "Zinniastep-Time-Remaining-Ms")), 15000);
+}
+
+TEST(Forwarding, UnknownKeysAndRoutesReachNoServer) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "")};
+  });
+  EngineHost host({&server});
+  std::string request = EngineHost::Request("/once/");
+  request.replace(request.find("Token k"), 7, "Token j");
+  EXPECT_EQ(host.Call(request).status, 401);
+  EXPECT_EQ(host.Call(EngineHost::Request("/none/")).status, 404);
+  EXPECT_TRUE(server.requests().empty());
+}
+
+TEST(Forwarding, AmbiguousFramingIsRefused) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "")};
+  });
+  EngineHost host({&server});
+  EXPECT_EQ(
+      host.Call(EngineHost::Request("/once/", "Transfer-Encoding: chunked\r\n"))
+          .status,
+      400);
+  EXPECT_TRUE(server.requests().empty());
+}
+
+TEST(Forwarding, WhatRunsOnceIsNotSentAgainAfterABrokenAnswer) {
+  const auto script = [](const std::string&) {
+    return ScriptedAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+                          true};
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  EngineHost host({&first, &second});
+  EXPECT_EQ(host.Call(EngineHost::Request("/once/")).status, 502);
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
+TEST(Forwarding, AServersUnavailableWithoutItsWordIsNoNotRun) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("503 Service Unavailable", "", "")};
+  });
+  EngineHost host({&server});
+  EXPECT_EQ(host.Call(EngineHost::Request("/once/")).status, 502);
+}
+
+TEST(Forwarding, ARequestThatServersDeclinedIsRefusedAsNotRun) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("503 Service Unavailable",
+                                 "Zinniastep-Not-Executed: 1\r\n", "")};
+  });
+  EngineHost host({&server});
+  const CallerAnswer answer = host.Call(EngineHost::Request("/once/"));
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(HeaderOf(answer.head, "Retry-After"), "");
+}
+
+TEST(Forwarding, AnotherServersAddressIsTriedElsewhere) {
+  const ScriptedServer moved([](const std::string&) {
+    return ScriptedAnswer{Answer("421 Misdirected Request", "", "")};
+  });
+  const ScriptedServer good([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "y")};
+  });
+  EngineHost host({&moved, &good});
+  for (int call = 0; call < 4; ++call) {
+    EXPECT_EQ(host.Call(EngineHost::Request("/once/")).body, "y");
+  }
+}
+
+TEST(Forwarding, AnIdempotentRequestIsTriedElsewhereAfterAFailure) {
+  const ScriptedServer bad([](const std::string&) {
+    return ScriptedAnswer{Answer("500 Internal Server Error", "", "bad")};
+  });
+  const ScriptedServer good([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "y")};
+  });
+  EngineHost host({&bad, &good});
+  for (int call = 0; call < 4; ++call) {
+    EXPECT_EQ(host.Call(EngineHost::Request("/idem/")).body, "y");
+  }
+}
+
+TEST(Forwarding, AnAnswerOfAnotherRequestIsSkipped) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{
+        "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: other\r\n"
+        "Content-Length: 5\r\n\r\nwrong" +
+        Answer("200 OK", "", "right")};
+  });
+  EngineHost host({&server});
+  EXPECT_EQ(host.Call(EngineHost::Request("/once/")).body, "right");
+}
+
+TEST(Forwarding, BytesAfterAnAnswerReachNoCaller) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "one") +
+                          Answer("200 OK", "", "extra")};
+  });
+  EngineHost host({&server});
+  for (int call = 0; call < 3; ++call) {
+    EXPECT_EQ(host.Call(EngineHost::Request("/idem/")).body, "one");
+  }
+}
+
+TEST(Forwarding, AStreamThatBreaksGoesOnElsewhereAfterTheLastWholeEvent) {
+  std::atomic<int> sends = 0;
+  const auto script = [&sends](const std::string& request) {
+    if (++sends == 1) {
+      return ScriptedAnswer{StreamHead("X-First: 1\r\n") + Chunk(Event(1)) +
+                                Chunk(Event(2)) + Chunk("id: 3\nda"),
+                            true};
+    }
+    EXPECT_EQ(HeaderOf(request, "Last-Event-Id"), "2");
+    return ScriptedAnswer{StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) +
+                          kLastChunk};
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  EngineHost host({&first, &second});
+  const CallerAnswer answer = host.Call(EngineHost::Request("/gen/"));
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Event(1) + Event(2) + Event(3) + Event(4));
+  EXPECT_EQ(HeaderOf(answer.head, "X-First"), "1");
+}
+
+TEST(Forwarding, AStreamThatCannotGoOnDoesNotLookComplete) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{StreamHead() + Chunk(Event(1)), true};
+  });
+  EngineHost host({&server});
+  const CallerAnswer answer = host.Call(EngineHost::Request("/gen/"));
+  EXPECT_FALSE(answer.whole);
+}
+
+TEST(Forwarding, ADoubtfulAnswerIsAskedForAgainOfTheLargestModel) {
+  const ScriptedServer server([](const std::string& request) {
+    const bool is_small = HeaderOf(request, "Zinniastep-Model") == "small";
+    return ScriptedAnswer{
+        StreamHead(is_small ? "Zinniastep-Confidence: 10\r\n"
+                            : "Zinniastep-Confidence: 90\r\n") +
+        Chunk(is_small ? "id: 1\ndata: small\n\n" : "id: 1\ndata: large\n\n") +
+        kLastChunk};
+  });
+  EngineHost host({&server});
+  const CallerAnswer answer =
+      host.Call(EngineHost::Request("/gen/", "Zinniastep-Model: *\r\n"));
+  EXPECT_EQ(answer.body, "id: 1\ndata: large\n\n");
+  EXPECT_EQ(server.requests().size(), 2U);
+}
+
+TEST(Forwarding, ACallerThatLeavesEndsTheWorkAtTheServer) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{"", false, true};
+  });
+  EngineHost host({&server});
+  host.CallAndLeave(EngineHost::Request("/once/"),
+                    [&server] { return !server.requests().empty(); });
+  EXPECT_TRUE(Eventually([&server] { return server.abandoned() == 1; }));
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- /dev/null
+++ b/tests/traffic/scripted_server.h
@@ -0,0 +1,65 @@
+#ifndef TESTS_TRAFFIC_SCRIPTED_SERVER_H_
+#define TESTS_TRAFFIC_SCRIPTED_SERVER_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace zinniastep::testing {
+
+// What a scripted backend server does with one request.
+struct ScriptedAnswer {
+  // Bytes as they go on the wire.
+  std::string bytes;
+  // Closes the connection after the bytes.
+  bool close = false;
+  // Goes on to keep the connection open, without a word.
+  bool hang = false;
+};
+
+// A backend server on loopback that answers as the test says, and keeps what
+// it was sent.
+class ScriptedServer {
+ public:
+  // Called with each whole request; on the server's thread.
+  using Script = std::function<ScriptedAnswer(const std::string& request)>;
+
+  explicit ScriptedServer(Script script);
+  ScriptedServer(const ScriptedServer&) = delete;
+  auto operator=(const ScriptedServer&) -> ScriptedServer& = delete;
+  ~ScriptedServer();
+
+  [[nodiscard]] auto address() const -> std::string;
+  [[nodiscard]] auto requests() const -> std::vector<std::string>;
+  // Connections that their sender closed while a request was unanswered.
+  [[nodiscard]] auto abandoned() const -> int { return abandoned_; }
+
+ private:
+  struct Session;
+
+  auto Accept() -> void;
+  auto Read(const std::shared_ptr<Session>& session) -> void;
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Script script_;
+  mutable std::mutex mutex_;
+  std::vector<std::string> requests_;
+  std::atomic<int> abandoned_ = 0;
+  std::thread thread_;
+};
+
+// Returns the value of a header in a request or answer; empty without it.
+[[nodiscard]] auto HeaderOf(const std::string& message, const std::string& name)
+    -> std::string;
+
+}  // namespace zinniastep::testing
+
+#endif  // TESTS_TRAFFIC_SCRIPTED_SERVER_H_
