Accept callers when a host can serve them, and batch the servers' watch

Ruled out: a shorter wait for peers; it is what tells a restarted host how far roll-outs are.

Change: connections wait in the listener's queue until the first view, 0.8 s at most; the servers' watch pauses 250 ms after changes.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -18,6 +18,9 @@
 // living again, and always less than when it must get nothing more.
 constexpr Duration kLapsedEntryGrace = std::chrono::milliseconds(2000);
 constexpr Duration kLeavingReserve = std::chrono::milliseconds(600);
+// Servers that start or leave together are told of one by one; a tenth of the
+// shortest time in which a leaving one must get nothing more.
+constexpr Duration kServersBatchPause = std::chrono::milliseconds(250);
 // A fleet with this many hosts or fewer tells all peers at once.
 constexpr std::size_t kSmallFleet = 16;
 // Hosts of a larger fleet that read the store for all: any two may be lost
@@ -93,7 +96,11 @@
                            ? settings.leaving_time - kLeavingReserve
                            : Duration(0))) {
   for (const RecordKind kind : kAllKinds) {
-    watchers_.emplace_back(kind, WatcherLimits(), random_.Next());
+    WatcherLimits limits;
+    if (kind == RecordKind::kBackendServers) {
+      limits.batch_pause = kServersBatchPause;
+    }
+    watchers_.emplace_back(kind, limits, random_.Next());
   }
 }
 
--- a/src/libzinniastep/gateway/record_watcher.cc
+++ b/src/libzinniastep/gateway/record_watcher.cc
@@ -81,7 +81,8 @@
           [&](const RecordPage& page) { return Take(now, page); },
           [&](const RecordChanges& changes) -> std::optional<RecordSnapshot> {
             failures_ = 0;
-            not_before_ = now;
+            not_before_ =
+                changes.changes.empty() ? now : now + limits_.batch_pause;
             as_of_ = std::max(as_of_, changes.as_of);
             return std::nullopt;
           },
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -63,6 +63,9 @@
   // A waiting watch is cut this long after its wait.
   Duration watch_slack = std::chrono::milliseconds(1500);
   Duration list_timeout = std::chrono::milliseconds(1500);
+  // Pause after changes came, so that those in quick succession come with one
+  // call. Well below what any change may take.
+  Duration batch_pause{0};
   // Pause after a failure, doubled with each one in a row.
   Duration first_pause = std::chrono::milliseconds(100);
   Duration longest_pause = std::chrono::milliseconds(1000);
--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -19,6 +19,10 @@
 
 // The control core's clock. Its periods are several times as long.
 constexpr Duration kControlTick = std::chrono::milliseconds(100);
+// A host that starts lets callers' connections wait for its first view, which
+// takes some 0.4 s. Without one by then callers are refused: those that wait
+// for a second without being read give the host up.
+constexpr Duration kLongestUnready = std::chrono::milliseconds(800);
 constexpr Duration kTrafficTick = std::chrono::milliseconds(250);
 // After the signal callers learn from the directory that this host leaves;
 // until then it takes new connections.
@@ -144,6 +148,11 @@
     return peers.status();
   }
   peers_ = *std::move(peers);
+  ready_->BeginAccept();
+  directory_->BeginAccept();
+  if (metrics_listener_ != nullptr) {
+    metrics_listener_->BeginAccept();
+  }
   return absl::OkStatus();
 }
 
@@ -175,6 +184,9 @@
     }
   });
   engine_.Sweep();
+  if (std::chrono::steady_clock::now() - started_ >= kLongestUnready) {
+    callers_->BeginAccept();
+  }
   auto rows = engine_.TakeEvidence();
   if (!rows.empty()) {
     asio::post(control_io_, [this, rows = std::move(rows)] {
@@ -253,8 +265,12 @@
 }
 
 auto GatewayDaemon::Execute(const PublishView& action) -> void {
-  asio::post(traffic_io_,
-             [this, view = action.view] { engine_.SetView(view); });
+  asio::post(traffic_io_, [this, view = action.view] {
+    engine_.SetView(view);
+    if (engine_.is_ready()) {
+      callers_->BeginAccept();
+    }
+  });
 }
 
 auto GatewayDaemon::Execute(const SendToPeer& action) -> void {
--- a/src/libzinniastep/traffic/gateway_daemon.h
+++ b/src/libzinniastep/traffic/gateway_daemon.h
@@ -1,6 +1,8 @@
 #ifndef LIBZINNIASTEP_TRAFFIC_GATEWAY_DAEMON_H_
 #define LIBZINNIASTEP_TRAFFIC_GATEWAY_DAEMON_H_
 
+#include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -111,6 +113,8 @@
   std::unique_ptr<HttpListener> ready_;
   std::unique_ptr<HttpListener> directory_;
   std::unique_ptr<HttpListener> metrics_listener_;
+  std::chrono::steady_clock::time_point started_ =
+      std::chrono::steady_clock::now();
   std::atomic<bool> leaving_ = false;
   std::thread control_thread_;
   std::thread traffic_thread_;
--- a/src/libzinniastep/traffic/http_listener.cc
+++ b/src/libzinniastep/traffic/http_listener.cc
@@ -33,7 +33,6 @@
   if (const absl::Status status = listener->Listen(*endpoint); !status.ok()) {
     return status;
   }
-  listener->Accept();
   return listener;
 }
 
@@ -61,6 +60,13 @@
   return error ? absl::UnavailableError(error.message()) : absl::OkStatus();
 }
 
+auto HttpListener::BeginAccept() -> void {
+  if (!accepting_ && acceptor_.is_open()) {
+    accepting_ = true;
+    Accept();
+  }
+}
+
 auto HttpListener::Accept() -> void {
   acceptor_.async_accept(
       [this](boost::system::error_code error, asio::ip::tcp::socket socket) {
--- a/src/libzinniastep/traffic/http_listener.h
+++ b/src/libzinniastep/traffic/http_listener.h
@@ -21,7 +21,7 @@
   // Returns what callers may send now; asked for each new connection.
   using LimitsSource = std::function<CallerLimits()>;
 
-  // Binds a numeric "address:port" and begins to accept.
+  // Binds a numeric "address:port". Connections wait there until BeginAccept.
   static auto Start(boost::asio::io_context& io,
                     std::string_view address,
                     LimitsSource limits,
@@ -32,6 +32,9 @@
                LimitsSource limits,
                CallerConnection::Handler handler);
 
+  // Begins to accept, once; further calls change nothing.
+  auto BeginAccept() -> void;
+
   // Accepts no further connections.
   auto Close() -> void;
 
@@ -57,6 +60,7 @@
   LimitsSource limits_;
   CallerConnection::Handler handler_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
+  bool accepting_ = false;
   bool shutting_down_ = false;
 };
 
--- a/tests/gateway/record_watcher_test.cc
+++ b/tests/gateway/record_watcher_test.cc
@@ -37,6 +37,24 @@
   EXPECT_EQ(std::get<WatchRecords>(*watcher.NextRead(At(100))).after, 14U);
 }
 
+TEST(RecordWatcher, ChangesInQuickSuccessionComeWithOneCall) {
+  WatcherLimits limits;
+  limits.batch_pause = std::chrono::milliseconds(250);
+  RecordWatcher watcher(RecordKind::kBackendServers, limits, 1);
+  (void)watcher.NextRead(At(0));
+  (void)watcher.OnResult(At(0), RecordPage{{}, false, 10});
+  int watches = 0;
+  for (int time = 0; time < 1000; ++time) {
+    if (watcher.NextRead(At(time)).has_value()) {
+      ++watches;
+      (void)watcher.OnResult(
+          At(time), RecordChanges{{{{"a", 11, ""}, false}},
+                                  static_cast<std::uint64_t>(11 + time)});
+    }
+  }
+  EXPECT_EQ(watches, 4);
+}
+
 // A store that is away for long must not be asked without a pause: with reads
 // that fail at once, a busy loop would make thousands of calls.
 TEST(RecordWatcher, AsksAFailingStoreAtABoundedRate) {
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -81,6 +81,7 @@
         engine_->OnRequest(std::move(caller), std::move(request));
       });
   listener_ = *std::move(listener);
+  listener_->BeginAccept();
   port_ = listener_->port();
   thread_ = std::thread([this] { io_.run(); });
 }
