--- a/src/libzinniastep/gateway/record_watcher.cc
+++ b/src/libzinniastep/gateway/record_watcher.cc
@@ -29,7 +29,11 @@
   if (listing_) {
     const std::string after =
         pages_.records.empty() ? std::string() : pages_.records.back().name;
-    return ListRecords{kind_, after, limits_.list_timeout};
+    const Duration timeout =
+        std::min(limits_.longest_list_timeout,
+                 limits_.first_list_timeout *
+                     (1U << std::min(failures_, kMostDoublings)));
+    return ListRecords{kind_, after, timeout};
   }
   return WatchRecords{kind_, as_of_, limits_.watch_wait,
                       limits_.watch_wait + limits_.watch_slack};
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -62,7 +62,11 @@
   Duration watch_wait = std::chrono::seconds(6);
   // A waiting watch is cut this long after its wait.
   Duration watch_slack = std::chrono::milliseconds(1500);
-  Duration list_timeout = std::chrono::milliseconds(1500);
+  // A list is cut after the first time-out, doubled with each failure in a row
+  // up to the longest: a store that works answers within some milliseconds, and
+  // one that comes back does not answer what it was asked before.
+  Duration first_list_timeout = std::chrono::milliseconds(300);
+  Duration longest_list_timeout = std::chrono::milliseconds(1500);
   // Pause after changes came, so that those in quick succession come with one
   // call. Well below what any change may take.
   Duration batch_pause{0};
--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -17,7 +17,7 @@
 constexpr double kWaitingCostMs = 150.0;
 // Distance in milliseconds, with what the bytes between domains cost.
 constexpr double kOtherDomainCostMs = 10.0;
-constexpr double kOtherRegionCostMs = 120.0;
+constexpr double kOtherRegionCostMs = 200.0;
 // A server that fails all of its sends counts as this much farther away.
 constexpr double kFailureCostMs = 2000.0;
 // Weight of the newest send in a server's share of failures.
--- a/tests/gateway/record_watcher_test.cc
+++ b/tests/gateway/record_watcher_test.cc
@@ -71,6 +71,23 @@
   EXPECT_GE(reads, 60);
 }
 
+// A host that starts while the store is silent must be served soon after the
+// store is back, not when its first list's longest time is over.
+TEST(RecordWatcher, AsksASilentStoreAgainSoon) {
+  RecordWatcher watcher = Watcher();
+  const auto first = std::get<ListRecords>(*watcher.NextRead(At(0))).timeout;
+  EXPECT_LE(first, std::chrono::milliseconds(300));
+  (void)watcher.OnResult(At(300), ReadFailed{false});
+  const auto second = std::get<ListRecords>(*watcher.NextRead(At(500))).timeout;
+  EXPECT_GT(second, first);
+  for (int time = 2000; time < 40'000; time += 2000) {
+    (void)watcher.OnResult(At(time), ReadFailed{false});
+    const auto read = watcher.NextRead(At(time + 1500));
+    EXPECT_LE(std::get<ListRecords>(*read).timeout,
+              std::chrono::milliseconds(1500));
+  }
+}
+
 TEST(RecordWatcher, LostHistoryLeadsToANewList) {
   RecordWatcher watcher = Watcher();
   (void)watcher.NextRead(At(0));
