Let a stream speak for its version from its first bytes

Ruled out: later completion (0.94 of the duration: hosts that write the status had the evidence too late).

Change: a stream counts when its head has come, dropped answers too; completion is at 0.88 again, and needs each busy route as before.

--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -26,8 +26,8 @@
 constexpr Duration kShareNotice = std::chrono::milliseconds(900);
 // Where a roll-out without a fault is complete. A verdict cannot be taken back
 // once the servers before are gone, so that most of the second half goes into
-// evidence and only the time of a write is left.
-constexpr double kCompleteFrom = 0.94;
+// evidence; what is left covers hosts that have it later and a slow store.
+constexpr double kCompleteFrom = 0.88;
 // Logarithm of the odds of a fault at which a route counts as sound: one in
 // fifty, after some twelve good answers and none that failed. A fault may show
 // on one route only; routes with fewer answers of the other versions are not
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -348,6 +348,10 @@
   if (!not_run_) {
     progress_.may_have_run = true;
   }
+  if (is_stream_) {
+    // Long streams end much later than a roll-out's judge wants to know.
+    CountEvidence(false);
+  }
   if (is_stream_ && names_model_ && !answer_begun_) {
     Escalate();
   }
@@ -470,7 +474,6 @@
     OnAttemptOver(SendOutcome::kBroken);
     return;
   }
-  CountEvidence(false);
   FinishAttempt(SendOutcome::kAnswered);
   if (!answer_begun_) {
     AnswerHead head = head_;
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -1,9 +1,11 @@
 #include "tests/traffic/engine_host.h"
 
+#include <future>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -133,4 +135,16 @@
   socket.close();
 }
 
+auto EngineHost::CountedAnswers() -> std::uint64_t {
+  std::promise<std::uint64_t> answers;
+  asio::post(io_, [this, &answers] {
+    std::uint64_t counted = 0;
+    for (const VersionRow& row : engine_->TakeEvidence()) {
+      counted += row.counts.answers;
+    }
+    answers.set_value(counted);
+  });
+  return answers.get_future().get();
+}
+
 }  // namespace zinniastep::testing
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -45,6 +45,9 @@
   auto CallAndLeave(const std::string& request,
                     const std::function<bool()>& left) -> void;
 
+  // Answers that the engine has counted as evidence since the last call.
+  auto CountedAnswers() -> std::uint64_t;
+
   // A request of an account with the key "k".
   static auto Request(const std::string& path,
                       const std::string& extra_headers = "",
--- a/tests/traffic/forwarding_test.cc
+++ b/tests/traffic/forwarding_test.cc
@@ -212,6 +212,17 @@
   EXPECT_EQ(server.requests().size(), 2U);
 }
 
+// A roll-out's judge must not wait for the end of a stream of many seconds.
+TEST(Forwarding, AStreamSpeaksForItsVersionFromItsFirstBytes) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{StreamHead() + Chunk(Event(1)), false, true};
+  });
+  EngineHost host({&server});
+  host.CallAndLeave(EngineHost::Request("/gen/"),
+                    [&host] { return host.CountedAnswers() == 1; });
+  EXPECT_EQ(server.requests().size(), 1U);
+}
+
 TEST(Forwarding, ACallerThatLeavesEndsTheWorkAtTheServer) {
   const ScriptedServer server([](const std::string&) {
     return ScriptedAnswer{"", false, true};
