End the requests under way with the engine

Cause: a request under way and its connection keep each other; forwarding_test leaked them under the address sanitizer when its engine ended.

Ruled out: the listeners, which hold connections weakly.

Change: the engine's end abandons what is under way.

Conclusion: only the end of a process was concerned.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -594,6 +594,15 @@
   Over(reason, status);
 }
 
+auto Forwarder::Abandon() -> void {
+  over_ = true;
+  timer_.cancel();
+  if (connection_ != nullptr) {
+    connection_->Cancel();
+    connection_ = nullptr;
+  }
+}
+
 auto Forwarder::OnCallerGone() -> void {
   if (over_) {
     return;
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -36,6 +36,9 @@
   // Begins; the forwarder keeps itself until the request is over.
   auto Begin() -> void;
 
+  // Ends without a word to anybody, when the process ends.
+  auto Abandon() -> void;
+
   auto OnHead(const AnswerHead& head) -> void override;
   auto OnBody(std::string_view bytes) -> void override;
   auto OnEnd(ExchangeEnd end) -> void override;
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -32,7 +32,12 @@
       chooser_(settings.host, settings.domain, settings.region),
       pool_(io, headers_.attempt_id) {}
 
-TrafficEngine::~TrafficEngine() = default;
+TrafficEngine::~TrafficEngine() {
+  // A forwarder and its connection keep each other until one of them ends.
+  for (const auto& forwarder : active_) {
+    forwarder->Abandon();
+  }
+}
 
 auto TrafficEngine::Now() const -> Instant {
   return Instant(std::chrono::duration_cast<Duration>(
