Be ready only when requests can be placed, and join a fleet soon

Cause: store_outage_test failed in about one of three runs beside a build. The hosts' logs (with a line for each unanswered step of an assignment, new) show a host that asked no peer for its table of members while its peers were starting, so that it joined by the five-second fallback, and its failure domain's table was written that late. Hosts said they were ready before. Ruled out: the store client (no call was lost), and the stand-in.

Change: a host that has not joined asks again after each probe timeout, and never itself; it is ready once the tables of its region are known; an accepted conditional write starts the lease as a read does, since the store may go away between the two.

--- a/src/libzinniastep/assignment/assignment.cc
+++ b/src/libzinniastep/assignment/assignment.cc
@@ -69,6 +69,10 @@
   Object& object = objects_.at(domain);
   if (object.step != Step::kIdle) {
     if (now - object.step_started >= settings_.read_timeout) {
+      effects.Log("assignment_unanswered",
+                  {{"path", PathOf(domain).text()},
+                   {"step", object.step == Step::kReading ? "read" : "write"},
+                   {"reason", "timeout"}});
       object.step = Step::kIdle;
       store_answers_ = false;
     }
@@ -173,6 +177,12 @@
                           object.version = written.version;
                           object.next_read = now;
                           Adopt(now, domain, object, object.proposal, effects);
+                          // An accepted conditional update shows the table as
+                          // well as a read does.
+                          if (HoldsAny(object)) {
+                            object.lease_end =
+                                object.step_started + settings_.lease;
+                          }
                           Push(domain, object, effects);
                         },
                         [&](const StoreConflict&) {
@@ -181,6 +191,12 @@
                         },
                         // The write may have taken effect: reading settles it.
                         [&](const StoreSilent&) {
+                          effects.Log(
+                              "assignment_unanswered",
+                              {{"path", PathOf(domain).text()},
+                               {"step",
+                                step == Step::kReading ? "read" : "write"},
+                               {"reason", "no answer"}});
                           store_answers_ = false;
                           object.next_read = now + settings_.renew_period;
                         }},
@@ -398,6 +414,20 @@
   return &it->second.table;
 }
 
+auto Assignment::HasTables() const -> bool {
+  return TableOf(FailureDomainId()) != nullptr &&
+         std::ranges::all_of(
+             configuration_.domains.domains,
+             [this](const FailureDomainRule& rule) {
+               const auto roster = configuration_.rosters.find(rule.id);
+               const bool is_needed =
+                   rule.region == membership_.self().region &&
+                   roster != configuration_.rosters.end() &&
+                   !roster->second.servers.empty();
+               return !is_needed || TableOf(rule.id) != nullptr;
+             });
+}
+
 auto Assignment::CellsOf(const FailureDomainId& domain) const -> std::uint32_t {
   const AssignmentTable* table = TableOf(domain);
   return table == nullptr ? 0 : static_cast<std::uint32_t>(table->slots.size());
--- a/src/libzinniastep/assignment/assignment.h
+++ b/src/libzinniastep/assignment/assignment.h
@@ -109,6 +109,10 @@
   [[nodiscard]] auto KeyShardHolder(std::uint32_t shard) const
       -> std::optional<Holder>;
 
+  // Returns whether the tables are known that requests of this host's region
+  // need: without them nobody grants a place at a backend server.
+  [[nodiscard]] auto HasTables() const -> bool;
+
   // Returns whether the last call to the object API was answered.
   [[nodiscard]] auto store_answers() const -> bool { return store_answers_; }
 
--- a/src/libzinniastep/membership/membership.cc
+++ b/src/libzinniastep/membership/membership.cc
@@ -58,7 +58,10 @@
   ExpireSuspects(now, effects);
   RebuildLive();
   if (now >= next_sync_) {
-    next_sync_ = now + settings_.sync_period;
+    // Whoever has not met its peers yet keeps asking: the first ones asked may
+    // be starting as well.
+    next_sync_ =
+        now + (joined_ ? settings_.sync_period : settings_.probe_timeout);
     StartSync(now, effects);
   }
 }
@@ -206,11 +209,13 @@
   if (live_.size() < 2) {
     return;
   }
-  const HostIdentity& peer = live_[random_.Below(live_.size())];
-  if (peer.host != self_.host) {
-    Send(peer.host, peer.peer_address,
-         SyncRequest{OwnRecord(), table_.digests()}, effects);
+  // One of the others; the last one stands in for this host itself.
+  const HostIdentity* peer = &live_[random_.Below(live_.size() - 1)];
+  if (peer->host == self_.host) {
+    peer = &live_.back();
   }
+  Send(peer->host, peer->peer_address,
+       SyncRequest{OwnRecord(), table_.digests()}, effects);
 }
 
 auto Membership::OnMessage(Instant now,
--- a/src/libzinniastep/node/node.cc
+++ b/src/libzinniastep/node/node.cc
@@ -313,7 +313,8 @@
 
 auto Node::IsReady(Instant now) const -> bool {
   return !parts_->WhyNoNewWork(now).has_value() &&
-         !parts_->configuration.snapshot().documents.empty();
+         !parts_->configuration.snapshot().documents.empty() &&
+         parts_->assignment.HasTables();
 }
 
 }  // namespace zinniastep
--- /dev/null
+++ b/tests/membership/join_test.cc
@@ -0,0 +1,106 @@
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "libzinniastep/core/action.h"
+#include "libzinniastep/core/effects.h"
+#include "libzinniastep/membership/membership.h"
+#include "tests/support/virtual_time.h"
+
+namespace zinniastep::testing {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kHop = std::chrono::milliseconds(1);
+
+auto Identity(const std::string& name) -> HostIdentity {
+  HostIdentity identity;
+  identity.host = HostId(name);
+  identity.incarnation = 7;
+  identity.peer_address = name + ":7001";
+  identity.domain = FailureDomainId("perth-a");
+  identity.region = RegionId("perth");
+  return identity;
+}
+
+auto SettingsWithSeed(const std::string& name) -> MembershipSettings {
+  MembershipSettings settings;
+  settings.seeds = {name + ":7001"};
+  return settings;
+}
+
+// Two hosts; the second one's port opens later than the first one starts.
+class TwoHosts {
+ public:
+  TwoHosts()
+      : first_(Identity("first"), SettingsWithSeed("second"), 1),
+        second_(Identity("second"), SettingsWithSeed("first"), 2) {}
+
+  auto RunUntilJoined(Duration opens, Duration longest) -> Duration {
+    Tick(first_);
+    time_.After(opens, [this] {
+      open_ = true;
+      Tick(second_);
+    });
+    Duration waited{0};
+    while (waited < longest && !first_.joined()) {
+      time_.RunFor(kTick);
+      waited += kTick;
+    }
+    return waited;
+  }
+
+ private:
+  auto Tick(Membership& host) -> void {
+    Effects effects;
+    host.OnTime(time_.now(), effects);
+    CarryOut(host, effects);
+    time_.After(kTick, [this, &host] { Tick(host); });
+  }
+
+  auto CarryOut(Membership& from, Effects& effects) -> void {
+    (void)effects.TakeNotices();
+    Membership& to = &from == &first_ ? second_ : first_;
+    for (Action& action : effects.TakeActions()) {
+      auto* send = std::get_if<SendToPeer>(&action);
+      if (send == nullptr || !open_) {
+        continue;
+      }
+      time_.After(kHop, [this, &from, &to, message = send->message] {
+        Effects answers;
+        to.OnMessage(time_.now(),
+                     {from.self().host, from.self().incarnation,
+                      from.self().peer_address},
+                     std::get<MembershipMessage>(message), answers);
+        CarryOut(to, answers);
+      });
+    }
+  }
+
+  VirtualTime time_;
+  Membership first_;
+  Membership second_;
+  bool open_ = false;
+};
+
+// All hosts of a fleet start together, so that the first peer asked may not
+// listen yet. The next exchange of tables must not be a whole period away.
+TEST(JoinTest, AHostJoinsSoonAfterItsPeerListens) {
+  for (const int late_ms : {5, 100, 400, 1200}) {
+    TwoHosts hosts;
+    const Duration opens = std::chrono::milliseconds(late_ms);
+    const MembershipSettings settings;
+    const Duration took =
+        hosts.RunUntilJoined(opens, std::chrono::seconds(20));
+    // The peer is found by the next probe and asked within a probe's timeout.
+    EXPECT_LE(took, opens + settings.probe_period + settings.probe_timeout +
+                        std::chrono::milliseconds(100))
+        << late_ms;
+  }
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
