Meet seeds at the peers' port, and name sessions by their shared parts

Ruled out: hosts that widen at different moments (all within 10 ms now).

Change: seeds are met at this host's own peer port; the host list is read again after three seconds once, and while no peer is known; a session is named by the shared parts. The request_sent line names the session.

--- a/src/libzinniastep/gateway/gateway_settings.cc
+++ b/src/libzinniastep/gateway/gateway_settings.cc
@@ -58,6 +58,15 @@
   return regions;
 }
 
+// Seeds may be named by the address of another of their interfaces. All hosts
+// take messages of peers at the same port, so that this host's own is theirs.
+auto SetPeerPort(const std::string& peer_address, std::string& seed) -> void {
+  const auto own_colon = peer_address.rfind(':');
+  if (own_colon != std::string::npos) {
+    seed = seed.substr(0, seed.rfind(':')) + peer_address.substr(own_colon);
+  }
+}
+
 }  // namespace
 
 auto ReadGatewaySettings(std::string_view text) -> ParsedGatewaySettings {
@@ -87,6 +96,9 @@
   settings.metrics_address = address("metrics_address", Presence::kOptional);
   settings.peer_address = address("peer_address", Presence::kRequired);
   settings.seeds = ReadTexts(reader, "seeds", kAnyItems, findings);
+  for (std::string& seed : settings.seeds) {
+    SetPeerPort(settings.peer_address, seed);
+  }
   settings.store_address = address("store_address", Presence::kRequired);
   settings.signing_keys =
       ReadTexts(reader, "signing_keys", kSomeItems, findings);
--- a/src/libzinniastep/gateway/gateway_settings.h
+++ b/src/libzinniastep/gateway/gateway_settings.h
@@ -31,7 +31,8 @@
   // Where metrics are read; empty means nowhere.
   std::string metrics_address;
   std::string peer_address;
-  // Hosts to join through.
+  // Hosts to join through, at the port of `peer_address`, whichever port the
+  // settings name.
   std::vector<std::string> seeds;
   std::string store_address;
   // Sign the messages between hosts; the first one signs, all are accepted.
--- a/src/libzinniastep/gateway/prompt_shape.cc
+++ b/src/libzinniastep/gateway/prompt_shape.cc
@@ -48,7 +48,7 @@
     const auto colon = entries[index].find(':');
     const std::string_view id = entries[index].substr(0, colon);
     if (index + 1 == entries.size()) {
-      shape.own = StableHash(id);
+      shape.session = index == 0 ? StableHash(id) : shape.shared;
       break;
     }
     shape.shared = StableHash(id, shape.shared);
--- a/src/libzinniastep/gateway/prompt_shape.h
+++ b/src/libzinniastep/gateway/prompt_shape.h
@@ -11,8 +11,9 @@
   // Hash of the parts that other requests share; zero without any.
   std::uint64_t shared = 0;
   double shared_tokens = 0.0;
-  // Hash of the last part, which belongs to the request or its session.
-  std::uint64_t own = 0;
+  // Names the request's session: the shared parts, since the last part may be
+  // the request's alone, or the only part. Zero without any.
+  std::uint64_t session = 0;
   double prompt_tokens = 0.0;
   double output_tokens = 0.0;
 };
--- a/src/libzinniastep/membership/membership.cc
+++ b/src/libzinniastep/membership/membership.cc
@@ -51,7 +51,12 @@
     joined_ = true;
   }
   if (now >= next_host_list_) {
-    next_host_list_ = now + settings_.host_list_period;
+    const bool soon = host_lists_ == 0 || live_.size() < 2;
+    ++host_lists_;
+    next_host_list_ =
+        now + (soon ? std::min(settings_.first_host_list_period,
+                               settings_.host_list_period)
+                    : settings_.host_list_period);
     effects.Do(ReadHostList{});
   }
   Probing(now, effects);
--- a/src/libzinniastep/membership/membership.h
+++ b/src/libzinniastep/membership/membership.h
@@ -29,6 +29,9 @@
   Duration pause = std::chrono::seconds(1);
   Duration sync_period = std::chrono::seconds(10);
   Duration host_list_period = std::chrono::seconds(10);
+  // The list is read again after this time while no peer is known, and once
+  // after the start: hosts that start together may not be in it yet.
+  Duration first_host_list_period = std::chrono::seconds(3);
   // How long a lost host is remembered.
   Duration forget_lost = std::chrono::minutes(10);
   // Hosts that are asked to probe in this host's place.
@@ -166,6 +169,8 @@
   Instant next_probe_;
   Instant next_sync_;
   Instant next_host_list_;
+  // Reads of the host list so far.
+  std::uint64_t host_lists_ = 0;
 };
 
 }  // namespace zinniastep
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -118,6 +118,7 @@
   SetDeadline();
   prompt_ = ReadPromptShape(Header(engine_.headers().prompt_parts),
                             Header(engine_.headers().token_counts));
+  session_ = prompt_.session != 0 ? prompt_.session : StableHash(attempt_id_);
   ChooseService();
   engine_.BudgetFor(service_).OnSuccess();
   ArmTimer();
@@ -169,9 +170,7 @@
     total += share.weight;
   }
   // Requests of a session stay together.
-  const std::uint64_t place =
-      prompt_.own != 0 ? prompt_.own : StableHash(attempt_id_);
-  double draw = static_cast<double>(StableHash(route_->name, place) >> 11U) *
+  double draw = static_cast<double>(StableHash(route_->name, session_) >> 11U) *
                 0x1.0p-53 * total;
   for (const ServiceShare& share : route_->split) {
     service_ = share.service;
@@ -200,7 +199,7 @@
                    prompt_.shared);
     need.affinity_gain_ms = prompt_.shared_tokens / kPromptTokensPerMs;
   }
-  need.session = prompt_.own != 0 ? prompt_.own : StableHash(attempt_id_);
+  need.session = session_;
   need.regions = route_->home_regions;
   if (account_ != nullptr) {
     need.account_regions = account_->home_regions;
@@ -315,6 +314,7 @@
                 {"route", route_->name},
                 {"server", server_->id.text()},
                 {"server_version", server_->version},
+                {"session", std::to_string(session_)},
                 {"model", names_model_ ? route_->models[model_] : ""},
                 {"policy", std::to_string(policy_->version())},
                 {"send", std::to_string(tried_.size())},
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -79,6 +79,8 @@
   ServiceId service_;
   std::string attempt_id_;
   PromptShape prompt_;
+  // Its requests stay on one version and one service of a split route.
+  std::uint64_t session_ = 0;
   // Whether this host names the model, and which of the route's.
   bool names_model_ = false;
   std::size_t model_ = 0;
--- /dev/null
+++ b/tests/gateway/gateway_settings_test.cc
@@ -0,0 +1,40 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "libzinniastep/gateway/gateway_settings.h"
+
+namespace zinniastep::testing {
+namespace {
+
+constexpr char kSettings[] = R"({
+  "host": "host-a", "failure_domain": "perth-a", "region": "perth",
+  "regions": {"perth-a": "perth", "bunbury-a": "bunbury"},
+  "caller_address": "10.1.0.40:8227", "ready_address": "10.1.0.40:8220",
+  "directory_address": "10.1.0.40:8224", "metrics_address": "10.1.0.40:7341",
+  "peer_address": "10.1.0.40:7340",
+  "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
+  "store_address": "10.200.1.7:8223", "signing_keys": ["key"],
+  "shutdown_ms": 8000, "leaving_ms": 2500, "address_lifetime_ms": 5000,
+  "repeat_share": 0.9, "repeat_slack": 56, "most_descriptors": 4100
+})";
+
+// The platform names seeds by the address of another interface. Messages sent
+// there reach nobody, so that hosts which read the host list too early would
+// stay alone.
+TEST(GatewaySettingsTest, SeedsAreMetAtThePeersPort) {
+  const auto parsed = ReadGatewaySettings(kSettings);
+  ASSERT_TRUE(parsed.value.has_value());
+  ASSERT_EQ(parsed.value->seeds.size(), 2U);
+  EXPECT_EQ(parsed.value->seeds[0], "10.1.0.40:7340");
+  EXPECT_EQ(parsed.value->seeds[1], "10.2.0.29:7340");
+}
+
+TEST(GatewaySettingsTest, AllFindingsComeTogether) {
+  const auto parsed = ReadGatewaySettings(R"({"host": 7, "seeds": "x"})");
+  EXPECT_FALSE(parsed.value.has_value());
+  EXPECT_GT(parsed.findings.size(), 5U);
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- a/tests/membership/join_test.cc
+++ b/tests/membership/join_test.cc
@@ -32,6 +32,29 @@
   return settings;
 }
 
+// A host without seeds whose first host list is empty: its peers have not been
+// listed yet. It must not wait a whole period for the next one.
+TEST(JoinTest, TheHostListIsReadAgainSoonWhileAlone) {
+  MembershipSettings settings;
+  settings.host_list_period = std::chrono::seconds(60);
+  Membership host(Identity("alone"), settings, 1);
+  VirtualTime time;
+  int reads = 0;
+  for (Duration waited{0}; waited < std::chrono::seconds(10);
+       waited += kTick) {
+    time.RunFor(kTick);
+    Effects effects;
+    host.OnTime(time.now(), effects);
+    for (const Action& action : effects.TakeActions()) {
+      if (std::holds_alternative<ReadHostList>(action)) {
+        ++reads;
+        host.OnHostList(time.now(), {});
+      }
+    }
+  }
+  EXPECT_GE(reads, 3);
+}
+
 // Two hosts; the second one's port opens later than the first one starts.
 class TwoHosts {
  public:
