Bound repeats by a sliding window, and start without stated bounds

Of 7,785 answers 907 came from the smallest model though it doubted itself, 429 of them at the lowest opinions. The budget of repeats was a bucket of the host's part of the slack, 1.5 repeats at 86 hosts, and used 0.6 of the bound. Ruled out: the load of the engines, and sends left.

Change: RepeatBudget counts requests and repeats of the last window and grants what the fleet's rule grants, host by host, so that the sums keep it; an arrival at an address that is another server's now counts. Settings state times as the platform does, in seconds that may be fractions, and take usual values where no bound is stated; a missing one kept a host from starting.

--- a/src/libzinniastep/gateway/gateway_settings.cc
+++ b/src/libzinniastep/gateway/gateway_settings.cc
@@ -11,15 +11,33 @@
 namespace {
 
 constexpr std::size_t kLongestAddress = 64;
-constexpr std::uint64_t kLongestMilliseconds = 600'000;
+constexpr RealRange kAnyMilliseconds{0.0, 600'000.0};
+constexpr RealRange kAnySeconds{0.0, 600.0};
+// What holds where the platform states no bound: the shortest grace, leaving
+// time and address lifetime of the deployments so far, and no repeats beyond a
+// tenth.
+constexpr double kUsualShutdownSeconds = 8.0;
+constexpr double kUsualLeavingMs = 2500.0;
+constexpr double kUsualLifetimeSeconds = 5.0;
+constexpr double kUsualWindowSeconds = 10.0;
+constexpr double kUsualRepeatShare = 0.1;
 constexpr WholeRange kSomeItems{1, 1000};
 constexpr WholeRange kAnyItems{0, 1000};
 constexpr RealRange kAnyShare{0.0, 100.0};
 constexpr RealRange kAnySlack{0.0, 1e6};
 
-auto ReadTime(JsonObjectReader& reader, std::string_view key) -> Duration {
-  return std::chrono::milliseconds(
-      reader.Whole(key, {0, kLongestMilliseconds}, Presence::kRequired));
+auto ReadMilliseconds(JsonObjectReader& reader,
+                      std::string_view key,
+                      double usual) -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          reader.Real(key, kAnyMilliseconds, Presence::kOptional, usual)));
+}
+
+auto ReadSeconds(JsonObjectReader& reader, std::string_view key, double usual)
+    -> Duration {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      reader.Real(key, kAnySeconds, Presence::kOptional, usual)));
 }
 
 auto ReadTexts(JsonObjectReader& reader,
@@ -102,13 +120,18 @@
   settings.store_address = address("store_address", Presence::kRequired);
   settings.signing_keys =
       ReadTexts(reader, "signing_keys", kSomeItems, findings);
-  settings.shutdown_time = ReadTime(reader, "shutdown_ms");
-  settings.leaving_time = ReadTime(reader, "leaving_ms");
-  settings.longest_address_lifetime = ReadTime(reader, "address_lifetime_ms");
-  settings.repeat_share =
-      reader.Real("repeat_share", kAnyShare, Presence::kRequired);
+  settings.shutdown_time =
+      ReadSeconds(reader, "shutdown_s", kUsualShutdownSeconds);
+  settings.leaving_time =
+      ReadMilliseconds(reader, "leaving_ms", kUsualLeavingMs);
+  settings.longest_address_lifetime =
+      ReadSeconds(reader, "address_lifetime_s", kUsualLifetimeSeconds);
+  settings.repeat_share = reader.Real("repeat_share", kAnyShare,
+                                      Presence::kOptional, kUsualRepeatShare);
   settings.repeat_slack =
-      reader.Real("repeat_slack", kAnySlack, Presence::kRequired);
+      reader.Real("repeat_slack", kAnySlack, Presence::kOptional, 0.0);
+  settings.repeat_window =
+      ReadSeconds(reader, "repeat_window_s", kUsualWindowSeconds);
   settings.most_descriptors = reader.Whole(
       "most_descriptors", {64, std::numeric_limits<std::uint32_t>::max()},
       Presence::kRequired);
--- a/src/libzinniastep/gateway/gateway_settings.h
+++ b/src/libzinniastep/gateway/gateway_settings.h
@@ -47,6 +47,8 @@
   // requests, and a number beside.
   double repeat_share = 0.0;
   double repeat_slack = 0.0;
+  // The span in which repeats are counted.
+  Duration repeat_window{0};
   std::size_t most_descriptors = 1024;
 };
 
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -120,7 +120,7 @@
                             Header(engine_.headers().token_counts));
   session_ = prompt_.session != 0 ? prompt_.session : StableHash(attempt_id_);
   ChooseService();
-  engine_.BudgetFor(service_).OnSuccess();
+  engine_.BudgetFor(service_).OnRequest(began_);
   ArmTimer();
   Dispatch();
 }
@@ -370,9 +370,14 @@
       progress_.most_servers - progress_.servers_used - 1};
   const auto next =
       NextModel(state, model_, static_cast<std::uint32_t>(*confidence));
-  if (!next.has_value() || !engine_.BudgetFor(service_).TrySpend()) {
+  if (!next.has_value()) {
     return false;
   }
+  if (!engine_.MayRepeat(service_)) {
+    engine_.metrics().Count("escalations_over_budget");
+    return false;
+  }
+  engine_.BudgetFor(service_).OnRepeat(engine_.Now());
   engine_.Log({"request_escalated",
                {{"request", attempt_id_},
                 {"model", route_->models[model_]},
@@ -527,12 +532,13 @@
     progress_.may_have_run = true;
   }
   const Instant now = engine_.Now();
-  RetryBudget& budget = engine_.BudgetFor(service_);
-  const bool may_repeat = progress_.servers_used == 0 || budget.left() >= 1.0;
+  arrived_ = arrived_ || outcome != SendOutcome::kNotSent;
+  const bool may_repeat =
+      progress_.servers_used == 0 || engine_.MayRepeat(service_);
   const NextStep step = DecideNext(now, progress_, outcome, may_repeat);
   const bool tries_another = std::holds_alternative<TryAnother>(step);
-  if (tries_another && progress_.servers_used > 0) {
-    (void)budget.TrySpend();
+  if (tries_another && arrived_) {
+    engine_.BudgetFor(service_).OnRepeat(now);
   }
   engine_.Log({"send_failed",
                {{"request", attempt_id_},
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -89,6 +89,8 @@
   Instant no_server_since_;
   bool waiting_for_server_ = false;
   std::vector<BackendServerId> tried_;
+  // A server has seen the request, whatever it did with it.
+  bool arrived_ = false;
   // A server failed the request, maybe for its version.
   bool server_failed_before_ = false;
 
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -10,9 +10,9 @@
 
 namespace {
 
-// Part of the fleet's budget of repeats that hosts use together; the rest is
-// for requests that are spread unevenly over them.
-constexpr double kBudgetUsed = 0.6;
+// Part of the fleet's bound on repeats that hosts use; the rest is for requests
+// that callers sent and that reached no host.
+constexpr double kBudgetUsed = 0.9;
 
 }  // namespace
 
@@ -68,15 +68,20 @@
   return view_->policy == nullptr ? CallerLimits() : view_->policy->limits();
 }
 
-auto TrafficEngine::BudgetFor(const ServiceId& service) -> RetryBudget& {
-  const auto hosts =
-      static_cast<double>(std::max<std::size_t>(view_->hosts, 1));
+auto TrafficEngine::BudgetFor(const ServiceId& service) -> RepeatBudget& {
   return budgets_
-      .try_emplace(service, settings_.repeat_share * kBudgetUsed,
-                   std::max(1.0, settings_.repeat_slack * kBudgetUsed / hosts))
+      .try_emplace(service, settings_.repeat_window,
+                   settings_.repeat_share * kBudgetUsed)
       .first->second;
 }
 
+auto TrafficEngine::MayRepeat(const ServiceId& service) -> bool {
+  const auto hosts =
+      static_cast<double>(std::max<std::size_t>(view_->hosts, 1));
+  return BudgetFor(service).MayRepeat(
+      Now(), settings_.repeat_slack * kBudgetUsed / hosts);
+}
+
 auto TrafficEngine::AddEvidence(const VersionKey& key,
                                 const VersionCounts& counts) -> void {
   evidence_[key].Add(counts);
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -15,8 +15,8 @@
 #include "libzinniastep/gateway/backend_entry.h"
 #include "libzinniastep/gateway/gateway_settings.h"
 #include "libzinniastep/gateway/messages.h"
+#include "libzinniastep/gateway/repeat_budget.h"
 #include "libzinniastep/gateway/server_chooser.h"
-#include "libzinniastep/routing/retry_budget.h"
 #include "libzinniastep/runtime/metrics.h"
 #include "libzinniastep/traffic/caller_connection.h"
 #include "libzinniastep/traffic/forwarding_headers.h"
@@ -74,7 +74,9 @@
   // For the requests under way.
   [[nodiscard]] auto Now() const -> Instant;
   auto Draw() -> double { return random_.Unit(); }
-  auto BudgetFor(const ServiceId& service) -> RetryBudget&;
+  auto BudgetFor(const ServiceId& service) -> RepeatBudget&;
+  // Returns whether a request may arrive at one more server of the service.
+  [[nodiscard]] auto MayRepeat(const ServiceId& service) -> bool;
   auto AddEvidence(const VersionKey& key, const VersionCounts& counts) -> void;
   auto Log(const LogEvent& event) -> void { log_(event); }
   auto OnRequestBegun(std::shared_ptr<Forwarder> forwarder) -> void;
@@ -97,7 +99,7 @@
   std::shared_ptr<const TrafficView> view_;
   ServerChooser chooser_;
   ServerPool pool_;
-  std::map<ServiceId, RetryBudget> budgets_;
+  std::map<ServiceId, RepeatBudget> budgets_;
   VersionEvidence evidence_;
   std::set<std::shared_ptr<Forwarder>> active_;
   bool refusing_ = false;
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -15,7 +15,7 @@
   "peer_address": "10.1.0.40:7340",
   "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
   "store_address": "10.200.1.7:8223", "signing_keys": ["key"],
-  "shutdown_ms": 8000, "leaving_ms": 2500, "address_lifetime_ms": 5000,
+  "shutdown_s": 7.5, "leaving_ms": 2500, "address_lifetime_s": 5,
   "repeat_share": 0.9, "repeat_slack": 56, "most_descriptors": 4100
 })";
 
@@ -30,6 +30,14 @@
   EXPECT_EQ(parsed.value->seeds[1], "10.2.0.29:7340");
 }
 
+// A platform that states no bounds must still get a host that starts.
+TEST(GatewaySettingsTest, BoundsMayBeFractionsOrMissing) {
+  const auto parsed = ReadGatewaySettings(kSettings);
+  ASSERT_TRUE(parsed.value.has_value());
+  EXPECT_EQ(parsed.value->shutdown_time, std::chrono::milliseconds(7500));
+  EXPECT_EQ(parsed.value->repeat_window, std::chrono::seconds(10));
+}
+
 TEST(GatewaySettingsTest, AllFindingsComeTogether) {
   const auto parsed = ReadGatewaySettings(R"({"host": 7, "seeds": "x"})");
   EXPECT_FALSE(parsed.value.has_value());
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -63,6 +63,7 @@
   settings.region = RegionId("here");
   settings.repeat_share = 1.0;
   settings.repeat_slack = 50.0;
+  settings.repeat_window = std::chrono::seconds(10);
   engine_ = std::make_unique<TrafficEngine>(
       io_, settings, platform::Headers(), metrics_, [](const LogEvent&) {}, 1);
   auto view = std::make_shared<TrafficView>();
