Leave a busy server its time before a stream goes on elsewhere

A host of 64 has about one request at a server, so that 1.5 s without a byte says little. Ruled out: servers that were gone (the busiest ones were listed and answered others).

Change: before an answer begins a server may be silent for three quarters of the target and the prompt's time; keep-alive probes find a lost server. The limit is a decision of its own (LongestSilence) with a test.

--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -1,9 +1,18 @@
 #include "libzinniastep/gateway/forward_decision.h"
 
+#include <algorithm>
+
 namespace zinniastep {
 
 namespace {
 
+// Engines make a step for all their requests within some tens of milliseconds.
+constexpr Duration kStepSilence = std::chrono::milliseconds(1500);
+// Part of the target after which another server could still begin in time.
+constexpr double kFirstByteTargetPart = 0.75;
+// Tokens of a prompt that an engine with other work reads in a millisecond.
+constexpr double kBusyPromptTokensPerMs = 10.0;
+
 // Whether a failed send allows another one by the request's kind alone.
 auto MayRunAgain(const ForwardProgress& progress) -> bool {
   return !progress.may_have_run ||
@@ -64,4 +73,18 @@
   return TryAnother{};
 }
 
+auto LongestSilence(const ForwardingRoute& route,
+                    bool answer_begun,
+                    double prompt_tokens) -> Duration {
+  if (answer_begun) {
+    return kStepSilence;
+  }
+  const auto of_target = std::chrono::duration_cast<Duration>(
+      route.target_latency * kFirstByteTargetPart);
+  const auto of_prompt = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(prompt_tokens /
+                                                kBusyPromptTokensPerMs));
+  return std::max(kStepSilence, of_target) + of_prompt;
+}
+
 }  // namespace zinniastep
--- a/src/libzinniastep/gateway/forward_decision.h
+++ b/src/libzinniastep/gateway/forward_decision.h
@@ -82,6 +82,15 @@
                               SendOutcome outcome,
                               bool may_repeat) -> NextStep;
 
+// Returns how long a server with open requests of this host may send nothing
+// to any of them before a stream goes on elsewhere. A server that runs many
+// requests is silent for a while before an answer begins, and asking another
+// one only adds to the load; one that is lost is found by its connections.
+// `prompt_tokens` are those of the waiting request.
+[[nodiscard]] auto LongestSilence(const ForwardingRoute& route,
+                                  bool answer_begun,
+                                  double prompt_tokens) -> Duration;
+
 }  // namespace zinniastep
 
 #endif  // LIBZINNIASTEP_GATEWAY_FORWARD_DECISION_H_
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -24,9 +24,6 @@
 // A request that no server may take now waits for this part of its target.
 constexpr int kServerWaitPart = 8;
 constexpr Duration kServerPoll = std::chrono::milliseconds(20);
-// A server with open requests and no byte for this long is taken for gone.
-// Engines make a step for all their requests within some tens of milliseconds.
-constexpr Duration kServerSilence = std::chrono::milliseconds(1500);
 constexpr Duration kSilencePoll = std::chrono::milliseconds(250);
 // An idempotent request is sent elsewhere when its answer has not begun after
 // this part of the target.
@@ -40,9 +37,6 @@
 // part saves and what a prompt is expected to take.
 constexpr double kPromptTokensPerMs = 20.0;
 constexpr double kFirstEventMs = 40.0;
-// A long prompt may take this many times as long as expected before its first
-// byte: it waits for others' prompts.
-constexpr double kPromptPatience = 2.0;
 // Refused callers return after this, at random, so that they do not return
 // together.
 constexpr Duration kLeastReturn = std::chrono::milliseconds(200);
@@ -662,14 +656,11 @@
     return;
   }
   if (server_.has_value()) {
-    Duration patience = kServerSilence;
-    if (!head_at_.has_value()) {
-      patience += std::chrono::milliseconds(static_cast<std::int64_t>(
-          kPromptPatience * prompt_.prompt_tokens / kPromptTokensPerMs));
-    }
+    const Duration patience =
+        LongestSilence(*route_, head_at_.has_value(), prompt_.prompt_tokens);
     const bool stream_silent =
         progress_.resumable && now - last_bytes_ >= patience &&
-        engine_.chooser().IsSilent(now, server_->id, kServerSilence);
+        engine_.chooser().IsSilent(now, server_->id, patience);
     const bool answer_late =
         !progress_.resumable && !head_at_.has_value() &&
         progress_.repeat_rule == RepeatRule::kIdempotent &&
--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -47,6 +47,22 @@
   return std::clamp(stated, std::chrono::milliseconds(0), kLongestIdle);
 }
 
+// A server that is lost while it works on a request sends nothing, as a busy
+// one does. Probes tell the two apart within some seconds.
+auto KeepAlive(asio::ip::tcp::socket& socket) -> void {
+  constexpr int kSeconds = 1;
+  constexpr int kProbes = 2;
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(Idle(kSeconds), ignored);
+  socket.set_option(Interval(kSeconds), ignored);
+  socket.set_option(Probes(kProbes), ignored);
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& io,
@@ -101,6 +117,7 @@
         using UnsentTimeout =
             asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         self->socket_.set_option(UnsentTimeout(kUnsentTimeoutMs), ignored);
+        KeepAlive(self->socket_);
         self->WriteRequest();
         self->ReadMore();
       });
--- a/tests/gateway/forward_decision_test.cc
+++ b/tests/gateway/forward_decision_test.cc
@@ -103,5 +103,19 @@
                   .timed_out);
 }
 
+// A server with many requests takes seconds to begin an answer. Requests that
+// were taken away from it after 1.5 s began anew elsewhere and made the next
+// servers as slow.
+TEST(LongestSilence, ABusyServerMayBeSilentBeforeItsAnswerBegins) {
+  ForwardingRoute route;
+  route.target_latency = std::chrono::seconds(4);
+  const Duration shortest = LongestSilence(route, false, 0.0);
+  EXPECT_GE(shortest, std::chrono::milliseconds(2500));
+  EXPECT_LT(shortest, route.target_latency) << "another one may be in time";
+  EXPECT_GT(LongestSilence(route, false, 20000.0), shortest);
+  EXPECT_LT(LongestSilence(route, true, 20000.0), shortest)
+      << "events follow one another quickly";
+}
+
 }  // namespace
 }  // namespace zinniastep::testing
