Ask for fewer second answers while answers begin late; show ctl's version

Tests: ModelLadder.LateAnswersAreNotAskedForAgain, ZinniastepctlTest.ShowsItsVersion (both failed before).

--- a/src/libzinniastep/assignment/assignment.cc
+++ b/src/libzinniastep/assignment/assignment.cc
@@ -166,41 +166,40 @@
   Object& object = it->second;
   const Step step = object.step;
   object.step = Step::kIdle;
-  std::visit(Overloaded{[&](const StoreFound& found) {
-                          store_answers_ = true;
-                          if (step == Step::kReading) {
-                            FinishRead(now, domain, object, found, effects);
-                          }
-                        },
-                        [&](const StoreWritten& written) {
-                          store_answers_ = true;
-                          object.version = written.version;
-                          object.next_read = now;
-                          Adopt(now, domain, object, object.proposal, effects);
-                          // An accepted conditional update shows the table as
-                          // well as a read does.
-                          if (HoldsAny(object)) {
-                            object.lease_end =
-                                object.step_started + settings_.lease;
-                          }
-                          Push(domain, object, effects);
-                        },
-                        [&](const StoreConflict&) {
-                          store_answers_ = true;
-                          object.next_read = now;
-                        },
-                        // The write may have taken effect: reading settles it.
-                        [&](const StoreSilent&) {
-                          effects.Log(
-                              "assignment_unanswered",
-                              {{"path", PathOf(domain).text()},
-                               {"step",
-                                step == Step::kReading ? "read" : "write"},
-                               {"reason", "no answer"}});
-                          store_answers_ = false;
-                          object.next_read = now + settings_.renew_period;
-                        }},
-             answer.result);
+  std::visit(
+      Overloaded{[&](const StoreFound& found) {
+                   store_answers_ = true;
+                   if (step == Step::kReading) {
+                     FinishRead(now, domain, object, found, effects);
+                   }
+                 },
+                 [&](const StoreWritten& written) {
+                   store_answers_ = true;
+                   object.version = written.version;
+                   object.next_read = now;
+                   Adopt(now, domain, object, object.proposal, effects);
+                   // An accepted conditional update shows the table as
+                   // well as a read does.
+                   if (HoldsAny(object)) {
+                     object.lease_end = object.step_started + settings_.lease;
+                   }
+                   Push(domain, object, effects);
+                 },
+                 [&](const StoreConflict&) {
+                   store_answers_ = true;
+                   object.next_read = now;
+                 },
+                 // The write may have taken effect: reading settles it.
+                 [&](const StoreSilent&) {
+                   effects.Log(
+                       "assignment_unanswered",
+                       {{"path", PathOf(domain).text()},
+                        {"step", step == Step::kReading ? "read" : "write"},
+                        {"reason", "no answer"}});
+                   store_answers_ = false;
+                   object.next_read = now + settings_.renew_period;
+                 }},
+      answer.result);
 }
 
 auto Assignment::FinishRead(Instant now,
@@ -416,16 +415,16 @@
 
 auto Assignment::HasTables() const -> bool {
   return TableOf(FailureDomainId()) != nullptr &&
-         std::ranges::all_of(
-             configuration_.domains.domains,
-             [this](const FailureDomainRule& rule) {
-               const auto roster = configuration_.rosters.find(rule.id);
-               const bool is_needed =
-                   rule.region == membership_.self().region &&
-                   roster != configuration_.rosters.end() &&
-                   !roster->second.servers.empty();
-               return !is_needed || TableOf(rule.id) != nullptr;
-             });
+         std::ranges::all_of(configuration_.domains.domains,
+                             [this](const FailureDomainRule& rule) {
+                               const auto roster =
+                                   configuration_.rosters.find(rule.id);
+                               const bool is_needed =
+                                   rule.region == membership_.self().region &&
+                                   roster != configuration_.rosters.end() &&
+                                   !roster->second.servers.empty();
+                               return !is_needed || TableOf(rule.id) != nullptr;
+                             });
 }
 
 auto Assignment::CellsOf(const FailureDomainId& domain) const -> std::uint32_t {
--- a/src/libzinniastep/gateway/model_ladder.h
+++ b/src/libzinniastep/gateway/model_ladder.h
@@ -13,10 +13,26 @@
   std::size_t models = 0;
   // Requests for each place of the service's servers; 1 is full.
   double utilization = 0.0;
+  // How long answers of the service have lately taken to begin, as a part of
+  // the target.
+  double lateness = 0.0;
   // Sends that the request may still use, the next one included.
   std::uint32_t sends_left = 1;
 };
 
+// How long answers of a service take to begin, as this host sees it. It tells
+// of crowded servers sooner than their own word does, which a host of a large
+// fleet hears every few seconds only.
+class AnswerDelay {
+ public:
+  // An answer began after a part of its target.
+  auto OnBegin(double part_of_target) -> void;
+  [[nodiscard]] auto lateness() const -> double { return lateness_; }
+
+ private:
+  double lateness_ = 0.0;
+};
+
 // Returns the position of the model that a request begins with: the smallest,
 // whose opinion of its own answer costs little and comes before its first
 // event.
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -176,9 +176,9 @@
   names_model_ =
       !route_->models.empty() && Header(engine_.headers().model) == "*";
   if (names_model_) {
-    model_ = FirstModel({route_->models.size(),
-                         engine_.chooser().Utilization(began_, service_),
-                         progress_.most_servers});
+    model_ = FirstModel(
+        {route_->models.size(), engine_.chooser().Utilization(began_, service_),
+         engine_.DelayOf(service_).lateness(), progress_.most_servers});
   }
 }
 
@@ -347,6 +347,10 @@
     CountEvidence(false);
   }
   if (is_stream_ && names_model_ && !answer_begun_) {
+    engine_.DelayOf(service_).OnBegin(
+        std::chrono::duration<double>(now - sent_at_) /
+        std::chrono::duration<double>(
+            std::max<Duration>(route_->target_latency, Duration(1))));
     Escalate();
   }
 }
@@ -361,6 +365,7 @@
   const LadderState state{
       route_->models.size(),
       engine_.chooser().Utilization(engine_.Now(), service_),
+      engine_.DelayOf(service_).lateness(),
       progress_.most_servers - progress_.servers_used - 1};
   const auto next =
       NextModel(state, model_, static_cast<std::uint32_t>(*confidence));
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -15,6 +15,7 @@
 #include "libzinniastep/gateway/backend_entry.h"
 #include "libzinniastep/gateway/gateway_settings.h"
 #include "libzinniastep/gateway/messages.h"
+#include "libzinniastep/gateway/model_ladder.h"
 #include "libzinniastep/gateway/repeat_budget.h"
 #include "libzinniastep/gateway/server_chooser.h"
 #include "libzinniastep/runtime/metrics.h"
@@ -77,6 +78,9 @@
   auto BudgetFor(const ServiceId& service) -> RepeatBudget&;
   // Returns whether a request may arrive at one more server of the service.
   [[nodiscard]] auto MayRepeat(const ServiceId& service) -> bool;
+  auto DelayOf(const ServiceId& service) -> AnswerDelay& {
+    return delays_[service];
+  }
   auto AddEvidence(const VersionKey& key, const VersionCounts& counts) -> void;
   auto Log(const LogEvent& event) -> void { log_(event); }
   auto OnRequestBegun(std::shared_ptr<Forwarder> forwarder) -> void;
@@ -100,6 +104,7 @@
   ServerChooser chooser_;
   ServerPool pool_;
   std::map<ServiceId, RepeatBudget> budgets_;
+  std::map<ServiceId, AnswerDelay> delays_;
   VersionEvidence evidence_;
   std::set<std::shared_ptr<Forwarder>> active_;
   bool refusing_ = false;
--- a/src/zinniastepctl/main.cc
+++ b/src/zinniastepctl/main.cc
@@ -35,6 +35,7 @@
   zinniastepctl report [options]
   zinniastepctl explain REQUEST [options]
   zinniastepctl --help
+  zinniastepctl --version
 
 Options:
   --store=ADDRESS  The object API, "address:port" [default: 127.0.0.1:9001].
@@ -43,6 +44,7 @@
   --bad            Count the version as bad in the report.
   --reason=TEXT    Why; kept in the document.
   --html           Print the report as a page.
+  --version        Show the version.
 
 The operators' key is taken from the environment, ZINNIASTEP_OPERATOR_KEY.
 Exit codes: 0 done, 1 findings, 2 usage, 3 conflict, 4 unreachable or unknown.
@@ -124,10 +126,14 @@
 auto Main(int argc, char** argv) -> ExitCode {
   Arguments arguments;
   try {
-    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc});
+    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc},
+                                     /*help=*/true, /*version=*/true);
   } catch (const docopt::DocoptExitHelp&) {
     std::cout << kUsage;
     return ExitCode::kOk;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << "zinniastepctl " ZINNIASTEP_VERSION "\n";
+    return ExitCode::kOk;
   } catch (const std::exception& error) {
     std::cerr << error.what() << "\n" << kUsage;
     return ExitCode::kUsage;
--- a/tests/gateway/placing_hints_test.cc
+++ b/tests/gateway/placing_hints_test.cc
@@ -41,7 +41,7 @@
 }
 
 TEST(ModelLadder, AsksAgainWhenTheSmallestDoubtsItself) {
-  const LadderState idle{3, 0.2, 2};
+  const LadderState idle{3, 0.2, 0.02, 2};
   EXPECT_EQ(FirstModel(idle), 0U);
   EXPECT_EQ(NextModel(idle, 0, 20), 2U);
   EXPECT_FALSE(NextModel(idle, 0, 80).has_value());
@@ -49,8 +49,27 @@
 }
 
 TEST(ModelLadder, FullServersAnswerWithWhatTheyHave) {
-  EXPECT_FALSE(NextModel({3, 1.5, 2}, 0, 0).has_value());
-  EXPECT_FALSE(NextModel({3, 0.2, 0}, 0, 0).has_value()) << "no send is left";
+  EXPECT_FALSE(NextModel({3, 1.5, 0.02, 2}, 0, 0).has_value());
+  EXPECT_FALSE(NextModel({3, 0.2, 0.02, 0}, 0, 0).has_value())
+      << "no send is left";
+}
+
+// Servers crowd unseen: a host of a large fleet hears of their load late. That
+// answers take long to begin it sees at once, and asks for fewer again.
+TEST(ModelLadder, LateAnswersAreNotAskedForAgain) {
+  AnswerDelay delay;
+  for (int answer = 0; answer < 30; ++answer) {
+    delay.OnBegin(0.03);
+  }
+  EXPECT_EQ(NextModel({3, 0.1, delay.lateness(), 2}, 0, 40), 2U);
+  for (int answer = 0; answer < 30; ++answer) {
+    delay.OnBegin(0.6);
+  }
+  EXPECT_FALSE(NextModel({3, 0.1, delay.lateness(), 2}, 0, 0).has_value());
+  for (int answer = 0; answer < 60; ++answer) {
+    delay.OnBegin(0.03);
+  }
+  EXPECT_EQ(NextModel({3, 0.1, delay.lateness(), 2}, 0, 40), 2U);
 }
 
 TEST(ModelLadder, UrgencyStaysWithinTheEnginesRange) {
--- a/tests/process/zinniastepctl_test.cc
+++ b/tests/process/zinniastepctl_test.cc
@@ -54,6 +54,13 @@
       json{{"versions", json::array()}, {"servers", json::array()}}};
 };
 
+TEST_F(ZinniastepctlTest, ShowsItsVersion) {
+  ChildProcess process("zinniastepctl", {"--version"});
+  EXPECT_EQ(process.ReadLine(seconds(30)).value_or(""),
+            "zinniastepctl " ZINNIASTEP_VERSION);
+  EXPECT_EQ(process.Wait(seconds(30)).value_or(-1), 0);
+}
+
 TEST_F(ZinniastepctlTest, ChecksAppliesAndMeetsAnotherOperator) {
   ASSERT_TRUE(standin_.ready());
   json document = Example("coopline.json");
