--- a/src/libzinniastep/membership/membership.cc
+++ b/src/libzinniastep/membership/membership.cc
@@ -53,10 +53,9 @@
   if (now >= next_host_list_) {
     const bool soon = host_lists_ == 0 || live_.size() < 2;
     ++host_lists_;
-    next_host_list_ =
-        now + (soon ? std::min(settings_.first_host_list_period,
-                               settings_.host_list_period)
-                    : settings_.host_list_period);
+    next_host_list_ = now + (soon ? std::min(settings_.first_host_list_period,
+                                             settings_.host_list_period)
+                                  : settings_.host_list_period);
     effects.Do(ReadHostList{});
   }
   Probing(now, effects);
--- a/tests/membership/join_test.cc
+++ b/tests/membership/join_test.cc
@@ -40,8 +40,7 @@
   Membership host(Identity("alone"), settings, 1);
   VirtualTime time;
   int reads = 0;
-  for (Duration waited{0}; waited < std::chrono::seconds(10);
-       waited += kTick) {
+  for (Duration waited{0}; waited < std::chrono::seconds(10); waited += kTick) {
     time.RunFor(kTick);
     Effects effects;
     host.OnTime(time.now(), effects);
@@ -116,8 +115,7 @@
     TwoHosts hosts;
     const Duration opens = std::chrono::milliseconds(late_ms);
     const MembershipSettings settings;
-    const Duration took =
-        hosts.RunUntilJoined(opens, std::chrono::seconds(20));
+    const Duration took = hosts.RunUntilJoined(opens, std::chrono::seconds(20));
     // The peer is found by the next probe and asked within a probe's timeout.
     EXPECT_LE(took, opens + settings.probe_period + settings.probe_timeout +
                         std::chrono::milliseconds(100))
