Keep a late hand-over's credits within a cold server's limit

Cause: a steward whose lease lapsed goes on with half of a cold server's limit, and its successor keeps that half back until it hears that the earlier one has stopped. When that word came after the successor's wait had ended, the half became free at once, though the earlier steward's credits were still in use.

Ruled out: the wait itself (epoch 3 had been eligible for 13 s), the credits of dead askers, and the membership and assignment of the landing before, which play the same schedule.

Change: credits that a late hand-over names count as inherited until reports show that they have ended.

--- a/src/libzinniastep/steward/backend_server_state.cc
+++ b/src/libzinniastep/steward/backend_server_state.cc
@@ -173,6 +173,12 @@
   shrink_from_ = now + settings_.credit_lifetime + settings_.report_lag;
 }
 
+auto BackendServerState::InheritLate(Instant now, std::uint32_t count) -> void {
+  inherited_ = Inherited(now) + count;
+  inherited_until_ = now + kInheritedBound;
+  shrink_from_ = now + settings_.credit_lifetime + settings_.report_lag;
+}
+
 auto BackendServerState::Inherited(Instant now) const -> std::uint32_t {
   return now < inherited_until_ ? inherited_ : 0;
 }
--- a/src/libzinniastep/steward/backend_server_state.h
+++ b/src/libzinniastep/steward/backend_server_state.h
@@ -46,6 +46,10 @@
   // server.
   auto Inherit(Instant now, std::uint32_t count) -> void;
 
+  // Adds credits that an earlier steward still had when this one already
+  // granted.
+  auto InheritLate(Instant now, std::uint32_t count) -> void;
+
   // Returns how many more requests the server can be given, when a cold one
   // is given at most `cold_share`.
   [[nodiscard]] auto Headroom(Instant now, std::uint32_t cold_share) const
--- a/src/libzinniastep/steward/held_cells.cc
+++ b/src/libzinniastep/steward/held_cells.cc
@@ -216,7 +216,18 @@
     for (const OutstandingCredits& one : hand_over.outstanding) {
       cell.left[one.server] += one.count;
     }
-    if (!cell.unconfirmed.empty() || now >= cell.eligible || cell.stands_in) {
+    if (now >= cell.eligible) {
+      // The earlier steward acted on after the wait, with a lapsed lease. Its
+      // part of a cold server's limit is free only as its credits end.
+      for (const OutstandingCredits& one : hand_over.outstanding) {
+        const auto server = cell.servers.find(one.server);
+        if (server != cell.servers.end()) {
+          server->second.InheritLate(now, one.count);
+        }
+      }
+      continue;
+    }
+    if (!cell.unconfirmed.empty() || cell.stands_in) {
       continue;
     }
     cell.eligible = now;
