Bound answers without an end, and leave no request behind a cut

Causes, each shown by a test that failed on the code before: - A stream that resumed at a server which refused passed the refusal's body on to the caller as part of the stream, and a plain answer completed a stream that had broken (ARefusalToGoOnLeavesNoTraceInTheStream, APlainAnswerDoesNotCompleteAStreamThatBroke). - An idempotent answer longer than a megabyte that broke off was begun anew and joined to its first part (ALongAnswerThatBreaksIsNotBegunAnew, TwoAnswersAreNeverJoined, AHalfAnswerIsNotCompleteHoweverItWasFramed). - An event without its empty line was kept without a bound and searched from the start with each piece; bodies of failures, chunk headers and trailers had no bound either (BytesWithoutEndEndTheConnectionAndGiveATrueStatus). - A stream that brought bytes but no event lasted until the deadline (AStreamThatBringsBytesButNoEventGoesOnElsewhere); slow ones are not cut (ASlowStreamIsNotCut, which passed before as well). - A request whose caller had left stayed in the system's send buffer, which goes on sending after a close, seconds later when the network held it back (ARequestWhoseCallerLeftIsNotSentOnLater).

--- a/src/libzinniastep/gateway/backend_entry.h
+++ b/src/libzinniastep/gateway/backend_entry.h
@@ -77,6 +77,8 @@
   std::string address;
   FailureDomainId domain;
   RegionId region;
+  // Callers are sent to it; the others stand by.
+  bool preferred = true;
 };
 
 class TrafficPolicy;
--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -13,8 +13,17 @@
 // Tokens of a prompt that an engine with other work reads in a millisecond.
 constexpr double kBusyPromptTokensPerMs = 10.0;
 
+// Pauses between events, each as long as may still be on time, after which a
+// stream that brings bytes but no event is taken for stalled. A sound one that
+// is slow is late by then, but not lost.
+constexpr int kStalledPauses = 3;
+
 // Whether a failed send allows another one by the request's kind alone.
 auto MayRunAgain(const ForwardProgress& progress) -> bool {
+  if (progress.caller_has_bytes) {
+    // Only a stream can go on where it stopped; two answers cannot be joined.
+    return progress.resumable;
+  }
   return !progress.may_have_run ||
          progress.repeat_rule == RepeatRule::kIdempotent || progress.resumable;
 }
@@ -87,4 +96,10 @@
   return std::max(kStepSilence, of_target) + of_prompt;
 }
 
+auto LongestStall(const ForwardingRoute& route, double prompt_tokens)
+    -> Duration {
+  return LongestSilence(route, false, prompt_tokens) +
+         kStalledPauses * route.longest_pause;
+}
+
 }  // namespace zinniastep
--- a/src/libzinniastep/gateway/forward_decision.h
+++ b/src/libzinniastep/gateway/forward_decision.h
@@ -91,6 +91,11 @@
                                   bool answer_begun,
                                   double prompt_tokens) -> Duration;
 
+// Returns how long a stream whose server sends bytes may bring no whole event
+// before it goes on elsewhere.
+[[nodiscard]] auto LongestStall(const ForwardingRoute& route,
+                                double prompt_tokens) -> Duration;
+
 }  // namespace zinniastep
 
 #endif  // LIBZINNIASTEP_GATEWAY_FORWARD_DECISION_H_
--- a/src/libzinniastep/gateway/model_ladder.cc
+++ b/src/libzinniastep/gateway/model_ladder.cc
@@ -18,6 +18,10 @@
 // quarter of the target on it would miss it.
 constexpr double kFewerFromLateness = 0.0625;
 constexpr double kNoneFromLateness = 0.25;
+// Times that the first answer took to begin, after which another model's has
+// begun: what waits at the servers is much the same, and the largest model
+// reads the prompt more slowly.
+constexpr int kSecondAnswerFactor = 2;
 // Weight of the newest answer in the lateness: about the last ten count.
 constexpr double kDelayWeight = 0.1;
 
@@ -53,6 +57,10 @@
   return state.models - 1;
 }
 
+auto LeavesTimeForAnother(Duration first_took, Duration left) -> bool {
+  return kSecondAnswerFactor * first_took <= left;
+}
+
 auto EngineUrgency(std::uint32_t priority) -> std::uint32_t {
   constexpr std::uint32_t kFirst = 1;
   constexpr std::uint32_t kStep = 2;
--- a/src/libzinniastep/gateway/model_ladder.h
+++ b/src/libzinniastep/gateway/model_ladder.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "libzinniastep/base/time.h"
+
 namespace zinniastep {
 
 // What the choice of a model depends on.
@@ -45,6 +47,12 @@
                              std::uint32_t confidence)
     -> std::optional<std::size_t>;
 
+// Returns whether another model's answer can begin in time, when the first one
+// took this long to begin. One that is at hand is worth more than a better one
+// that comes too late.
+[[nodiscard]] auto LeavesTimeForAnother(Duration first_took, Duration left)
+    -> bool;
+
 // Returns how urgent a request of a priority is at an engine, from 0 (first)
 // to 9. Priority 0 keeps a step in reserve for work that was begun elsewhere.
 [[nodiscard]] auto EngineUrgency(std::uint32_t priority) -> std::uint32_t;
--- a/src/libzinniastep/runtime/http_loop.cc
+++ b/src/libzinniastep/runtime/http_loop.cc
@@ -6,6 +6,8 @@
 #include <cctype>
 #include <utility>
 
+#include "libzinniastep/runtime/socket_options.h"
+
 namespace zinniastep {
 
 namespace {
@@ -16,6 +18,18 @@
 constexpr int kPollMilliseconds = 1000;
 constexpr int kPausedPollMilliseconds = 2;
 constexpr long kConnectionsKept = 256;
+// A connection that lost its way is found much sooner than a long wait on it
+// ends: by probes, and by bytes that stay unacknowledged this long, in
+// milliseconds.
+constexpr int kProbes = 2;
+constexpr int kUnacknowledgedMs = 2500;
+
+auto OnSocket(void* /*self*/, curl_socket_t socket, curlsocktype /*purpose*/)
+    -> int {
+  ProbeSilentPeer(socket, kProbes);
+  LimitUnacknowledged(socket, kUnacknowledgedMs);
+  return CURL_SOCKOPT_OK;
+}
 
 auto Since(SteadyClock::time_point start) -> Duration {
   return std::chrono::duration_cast<Duration>(SteadyClock::now() - start);
@@ -263,6 +277,7 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, Milliseconds(request.timeout));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    std::max(1L, Milliseconds(request.send_within)));
--- a/src/libzinniastep/runtime/peer_transport.cc
+++ b/src/libzinniastep/runtime/peer_transport.cc
@@ -1,6 +1,7 @@
 #include "libzinniastep/runtime/peer_transport.h"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstring>
 #include <deque>
@@ -11,6 +12,7 @@
 
 #include <boost/asio.hpp>
 
+#include "libzinniastep/runtime/socket_options.h"
 #include "libzinniastep/wire/codec.h"
 
 namespace zinniastep {
@@ -23,8 +25,16 @@
 
 // Longest message that goes as a datagram, in bytes: it fits an Ethernet frame.
 constexpr std::size_t kLongestDatagram = 1400;
-// Messages that wait for one peer's TCP connection; more are dropped.
-constexpr std::size_t kLongestQueue = 256;
+// Bytes that wait for one peer's TCP connection; more are dropped, since what
+// peers tell each other is told again.
+constexpr std::size_t kMostQueuedBytes = 2 * kLongestMessage;
+// A peer that is reachable accepts within a round trip. One behind a cut is
+// asked anew with the next message, instead of when the system's pauses end.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(1000);
+// Bytes that stay unacknowledged for this long, in milliseconds, are lost.
+constexpr int kUnacknowledgedMs = 1500;
+// Probes after which a silent peer's connection is closed.
+constexpr int kProbes = 5;
 constexpr std::size_t kMostConnections = 256;
 constexpr std::size_t kLengthBytes = 4;
 
@@ -120,26 +130,35 @@
 class Outgoing : public std::enable_shared_from_this<Outgoing> {
  public:
   Outgoing(asio::io_context& context, tcp::endpoint endpoint)
-      : socket_(context), endpoint_(std::move(endpoint)) {}
+      : socket_(context), timer_(context), endpoint_(std::move(endpoint)) {}
 
   auto Connect() -> void {
+    timer_.expires_after(kConnectTimeout);
+    timer_.async_wait([self = shared_from_this()](const auto& error) {
+      if (!error && !self->connected_) {
+        self->Break();
+      }
+    });
     socket_.async_connect(
         endpoint_, [self = shared_from_this()](const auto& error) {
+          self->timer_.cancel();
           if (error) {
-            self->broken_ = true;
+            self->Break();
             return;
           }
           boost::system::error_code ignored;
           self->socket_.set_option(tcp::no_delay(true), ignored);
+          LimitUnacknowledged(self->socket_.native_handle(), kUnacknowledgedMs);
           self->connected_ = true;
           self->WriteNext();
         });
   }
 
   auto Push(std::string bytes) -> void {
-    if (queue_.size() >= kLongestQueue) {
+    if (queued_bytes_ + bytes.size() > kMostQueuedBytes) {
       return;
     }
+    queued_bytes_ += bytes.size();
     queue_.push_back(std::move(bytes));
     if (connected_ && queue_.size() == 1) {
       WriteNext();
@@ -160,17 +179,26 @@
         socket_, buffers,
         [self = shared_from_this()](const auto& error, std::size_t) {
           if (error) {
-            self->broken_ = true;
+            self->Break();
             return;
           }
+          self->queued_bytes_ -= self->queue_.front().size();
           self->queue_.pop_front();
           self->WriteNext();
         });
   }
 
+  auto Break() -> void {
+    broken_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+
   tcp::socket socket_;
+  asio::steady_timer timer_;
   tcp::endpoint endpoint_;
   std::deque<std::string> queue_;
+  std::size_t queued_bytes_ = 0;
   LengthPrefix prefix_{};
   bool connected_ = false;
   bool broken_ = false;
@@ -256,6 +284,7 @@
   auto Accept() -> void {
     acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
       if (!error) {
+        ProbeSilentPeer(socket.native_handle(), kProbes);
         std::make_shared<Incoming>(std::move(socket), counting_receiver_)
             ->ReadNext();
       }
--- /dev/null
+++ b/src/libzinniastep/runtime/socket_options.cc
@@ -0,0 +1,35 @@
+#include "libzinniastep/runtime/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace zinniastep {
+
+namespace {
+
+constexpr int kProbeSeconds = 1;
+
+template <class Value>
+auto SetOption(int socket, int level, int name, const Value& value) -> void {
+  (void)setsockopt(socket, level, name, &value, sizeof value);
+}
+
+}  // namespace
+
+auto ProbeSilentPeer(int socket, int probes) -> void {
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
+auto LimitUnacknowledged(int socket, int milliseconds) -> void {
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
+}
+
+auto DropUnsentOnClose(int socket) -> void {
+  SetOption(socket, SOL_SOCKET, SO_LINGER, linger{1, 0});
+}
+
+}  // namespace zinniastep
--- a/src/libzinniastep/traffic/caller_connection.cc
+++ b/src/libzinniastep/traffic/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "libzinniastep/runtime/socket_options.h"
 #include "libzinniastep/traffic/http_text.h"
 
 namespace zinniastep {
@@ -24,6 +25,9 @@
 // A closing connection is read on for this long, since unread bytes would
 // reset it before the caller has the answer.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+// A caller that left behind a cut is found when the cut heals; until then it
+// may be sound, and callers wait for longer than most cuts last.
+constexpr int kProbes = 10;
 
 auto StatusFor(const boost::system::error_code& error) -> http::status {
   if (error == http::error::header_limit) {
@@ -48,6 +52,7 @@
 auto CallerConnection::Start() -> void {
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  ProbeSilentPeer(socket_.native_handle(), kProbes);
   Arm(limits_.idle_timeout);
   ReadMore();
 }
@@ -135,6 +140,10 @@
       return;
     }
     if (error == http::error::need_more || used == 0) {
+      if (buffer_.size() > limits_.header_bytes + kMostReadAhead) {
+        // The header of a chunk, or a trailer, without an end.
+        RejectRequest(http::status::bad_request);
+      }
       return;
     }
   }
--- a/src/libzinniastep/traffic/event_splitter.cc
+++ b/src/libzinniastep/traffic/event_splitter.cc
@@ -7,16 +7,18 @@
 
 namespace {
 
-// Returns the length of the first event with its empty line, or zero.
-auto EventLength(std::string_view text) -> std::size_t {
-  const auto lines = text.find("\n\n");
-  const auto returns = text.find("\r\n\r\n");
-  const std::size_t by_lines =
-      lines == std::string_view::npos ? std::string_view::npos : lines + 2;
-  const std::size_t by_returns =
-      returns == std::string_view::npos ? std::string_view::npos : returns + 4;
-  const std::size_t first = std::min(by_lines, by_returns);
-  return first == std::string_view::npos ? 0 : first;
+constexpr std::string_view kEmptyLine = "\n\n";
+constexpr std::string_view kEmptyLineWithReturns = "\r\n\r\n";
+
+// Returns where the first empty line after a position ends, or npos.
+auto EndOfEvent(std::string_view text, std::size_t from) -> std::size_t {
+  const auto lines = text.find(kEmptyLine, from);
+  const auto returns = text.find(kEmptyLineWithReturns, from);
+  if (lines == std::string_view::npos && returns == std::string_view::npos) {
+    return std::string_view::npos;
+  }
+  return lines < returns ? lines + kEmptyLine.size()
+                         : returns + kEmptyLineWithReturns.size();
 }
 
 auto EventId(std::string_view event) -> std::optional<std::uint64_t> {
@@ -46,14 +48,26 @@
 }  // namespace
 
 auto EventSplitter::Next() -> std::optional<StreamEvent> {
-  const std::size_t length = EventLength(pending_);
-  if (length == 0) {
+  // An end may have begun in what was searched before.
+  constexpr std::size_t kOverlap = kEmptyLineWithReturns.size() - 1;
+  const std::size_t from =
+      std::max(begin_, searched_ > kOverlap ? searched_ - kOverlap : 0);
+  const std::size_t end = EndOfEvent(pending_, from);
+  if (end == std::string_view::npos) {
+    pending_.erase(0, begin_);
+    begin_ = 0;
+    searched_ = pending_.size();
     return std::nullopt;
   }
-  StreamEvent event{pending_.substr(0, length), std::nullopt};
-  pending_.erase(0, length);
+  StreamEvent event{pending_.substr(begin_, end - begin_), std::nullopt};
+  begin_ = searched_ = end;
   event.id = EventId(event.text);
   return event;
 }
 
+auto EventSplitter::Reset() -> void {
+  pending_.clear();
+  begin_ = searched_ = 0;
+}
+
 }  // namespace zinniastep
--- a/src/libzinniastep/traffic/event_splitter.h
+++ b/src/libzinniastep/traffic/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef LIBZINNIASTEP_TRAFFIC_EVENT_SPLITTER_H_
 #define LIBZINNIASTEP_TRAFFIC_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,7 +15,12 @@
   std::optional<std::uint64_t> id;
 };
 
-// Cuts a stream of bytes (text/event-stream) into whole events.
+// Longest event that is taken, in bytes: a thousand times what an event of some
+// tokens needs.
+inline constexpr std::size_t kLongestEvent = std::size_t{256} << 10U;
+
+// Cuts a stream of bytes (text/event-stream) into whole events. Each byte is
+// searched once, however small the pieces are in which an event comes.
 class EventSplitter {
  public:
   auto Add(std::string_view bytes) -> void { pending_.append(bytes); }
@@ -23,13 +29,24 @@
   auto Next() -> std::optional<StreamEvent>;
 
   // Whether a part of an event is left.
-  [[nodiscard]] auto has_part() const -> bool { return !pending_.empty(); }
+  [[nodiscard]] auto has_part() const -> bool {
+    return begin_ < pending_.size();
+  }
+
+  // Whether the part that is left is longer than any event may be; the stream
+  // is of no further use then.
+  [[nodiscard]] auto is_overlong() const -> bool {
+    return pending_.size() - begin_ > kLongestEvent;
+  }
 
   // Forgets a part of an event that will not be completed.
-  auto Reset() -> void { pending_.clear(); }
+  auto Reset() -> void;
 
  private:
   std::string pending_;
+  // Where the next event begins, and up to where no end of it was found.
+  std::size_t begin_ = 0;
+  std::size_t searched_ = 0;
 };
 
 }  // namespace zinniastep
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -33,6 +33,9 @@
 // Plain answers up to this size are kept whole until complete, so that a
 // broken one can be asked for again.
 constexpr std::size_t kMostHeldBody = std::size_t{1} << 20U;
+// Longest plain answer that is passed on, in bytes: sixteen times the longest
+// body that callers may send by default. A server that goes on is broken.
+constexpr std::size_t kLongestAnswer = std::size_t{64} << 20U;
 // Tokens of a prompt that an engine reads in a millisecond, for what a cached
 // part saves and what a prompt is expected to take.
 constexpr double kPromptTokensPerMs = 20.0;
@@ -298,6 +301,7 @@
   tried_.push_back(server_->id);
   sent_at_ = engine_.Now();
   last_bytes_ = sent_at_;
+  last_event_at_ = sent_at_;
   head_at_.reset();
   not_run_ = misdirected_ = server_failed_ = is_stream_ = false;
   body_.clear();
@@ -336,12 +340,17 @@
       misdirected_ || (HeaderValue(head, names.not_executed).has_value() &&
                        PromisesNotRun(status));
   server_failed_ = !not_run_ && (status >= 500 || PromisesNotRun(status));
+  answer_bytes_ = 0;
   const auto type = HeaderValue(head, "Content-Type");
   is_stream_ = route_->streaming && status < 300 &&
                type.value_or("").starts_with("text/event-stream");
   if (!not_run_) {
     progress_.may_have_run = true;
   }
+  if (answer_begun_ && !is_stream_ && !not_run_) {
+    // Nothing but events can go on where the caller's stream stopped.
+    server_failed_ = true;
+  }
   if (is_stream_) {
     // Long streams end much later than a roll-out's judge wants to know.
     CountEvidence(false);
@@ -358,8 +367,12 @@
 auto Forwarder::Escalate() -> bool {
   const auto opinion = HeaderValue(head_, engine_.headers().confidence);
   const auto confidence = WholeNumber(opinion.value_or(""));
+  const Instant now = engine_.Now();
+  const Instant in_time =
+      std::min(progress_.deadline, began_ + route_->target_latency);
   if (!confidence.has_value() ||
-      progress_.servers_used + 1 >= progress_.most_servers) {
+      progress_.servers_used + 1 >= progress_.most_servers ||
+      !LeavesTimeForAnother(now - sent_at_, in_time - now)) {
     return false;
   }
   const LadderState state{
@@ -400,25 +413,44 @@
     TakeEvents(bytes);
     return;
   }
-  if (answer_begun_) {
-    caller_->Write(bytes);
-  } else {
+  answer_bytes_ += bytes.size();
+  if (answer_bytes_ > kLongestAnswer ||
+      (answer_bytes_ > kMostHeldBody && (not_run_ || server_failed_))) {
+    EndOverlongAnswer();
+    return;
+  }
+  if (not_run_ || server_failed_ || !answer_begun_) {
     body_.append(bytes);
-    if (!not_run_ && !server_failed_ && body_.size() > kMostHeldBody) {
-      answer_begun_ = true;
-      progress_.caller_has_bytes = true;
-      AnswerHead head = head_;
-      EraseHopByHop(head);
-      caller_->BeginAnswer(std::move(head));
-      caller_->Write(body_);
-      body_.clear();
-    }
+  } else {
+    caller_->Write(bytes);
+  }
+  if (!not_run_ && !server_failed_ && !answer_begun_ &&
+      body_.size() > kMostHeldBody) {
+    answer_begun_ = true;
+    progress_.caller_has_bytes = true;
+    AnswerHead head = head_;
+    EraseHopByHop(head);
+    caller_->BeginAnswer(std::move(head));
+    caller_->Write(std::exchange(body_, {}));
   }
   if (connection_ != nullptr && caller_->unsent() > kMostUnsent) {
     connection_->Pause();
   }
 }
 
+auto Forwarder::EndOverlongAnswer() -> void {
+  engine_.Log({"answer_overlong",
+               {{"request", attempt_id_},
+                {"server", server_->id.text()},
+                {"status", std::to_string(head_.result_int())}}});
+  engine_.metrics().Count("answers_overlong");
+  connection_->Cancel();
+  // What the head said of a request that was not run holds without its body.
+  OnAttemptOver(misdirected_ ? SendOutcome::kMisdirected
+                : not_run_   ? SendOutcome::kDeclined
+                             : SendOutcome::kBroken);
+}
+
 auto Forwarder::TakeEvents(std::string_view bytes) -> void {
   events_.Add(bytes);
   while (auto event = events_.Next()) {
@@ -440,6 +472,11 @@
     if (event->id.has_value()) {
       last_event_ = event->id;
     }
+    last_event_at_ = last_bytes_;
+  }
+  if (events_.is_overlong()) {
+    EndOverlongAnswer();
+    return;
   }
   if (connection_ != nullptr && caller_->unsent() > kMostUnsent) {
     connection_->Pause();
@@ -666,13 +703,17 @@
     const bool stream_silent =
         progress_.resumable && now - last_bytes_ >= patience &&
         engine_.chooser().IsSilent(now, server_->id, patience);
+    // Bytes come now and then, but no event.
+    const bool stream_stalled =
+        progress_.resumable && is_stream_ && last_bytes_ > last_event_at_ &&
+        now - last_event_at_ >= LongestStall(*route_, prompt_.prompt_tokens);
     const bool answer_late =
         !progress_.resumable && !head_at_.has_value() &&
         progress_.repeat_rule == RepeatRule::kIdempotent &&
         now - sent_at_ >= std::chrono::duration_cast<Duration>(
                               route_->target_latency * kSecondSendPart) &&
         progress_.servers_used + 1 < progress_.most_servers;
-    if (stream_silent || answer_late) {
+    if (stream_silent || stream_stalled || answer_late) {
       connection_->Cancel();
       OnAttemptOver(SendOutcome::kSilent);
       return;
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -57,6 +57,8 @@
   auto TakeStep(const NextStep& step) -> void;
   auto Escalate() -> bool;
   auto TakeEvents(std::string_view bytes) -> void;
+  // Ends the send whose server goes on for longer than any answer may be.
+  auto EndOverlongAnswer() -> void;
   auto OnStreamEnd() -> void;
   auto AnswerWhole() -> void;
   auto Refuse(std::string_view reason) -> void;
@@ -100,6 +102,9 @@
   Instant sent_at_;
   std::optional<Instant> head_at_;
   Instant last_bytes_;
+  // When a whole event came last, or the request was sent.
+  Instant last_event_at_;
+  std::size_t answer_bytes_ = 0;
   AnswerHead head_;
   bool not_run_ = false;
   bool misdirected_ = false;
--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -1,14 +1,12 @@
 #include "libzinniastep/traffic/server_connection.h"
 
-#include <netinet/tcp.h>
-
 #include <limits>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/write.hpp>
 
+#include "libzinniastep/runtime/socket_options.h"
 #include "libzinniastep/traffic/http_text.h"
 
 namespace zinniastep {
@@ -20,8 +18,14 @@
 
 constexpr std::size_t kReadSize = 8192;
 constexpr std::uint32_t kLongestHead = 32768;
+// Bytes that the parser may leave unread, such as a chunk's header or a trailer
+// without an end.
+constexpr std::size_t kLongestUnparsed = 65536;
 // Bytes that the network holds back for longer than this are taken for lost.
 constexpr int kUnsentTimeoutMs = 2500;
+// A server that is lost while it works on a request sends nothing, as a busy
+// one does; probes tell the two apart.
+constexpr int kProbes = 2;
 // Idle connections are not kept longer, and less when the server says so.
 constexpr std::chrono::milliseconds kLongestIdle(4000);
 constexpr std::chrono::milliseconds kIdleReserve(700);
@@ -47,22 +51,6 @@
   return std::clamp(stated, std::chrono::milliseconds(0), kLongestIdle);
 }
 
-// A server that is lost while it works on a request sends nothing, as a busy
-// one does. Probes tell the two apart within some seconds.
-auto KeepAlive(asio::ip::tcp::socket& socket) -> void {
-  constexpr int kSeconds = 1;
-  constexpr int kProbes = 2;
-  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-  using Interval =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-  using Probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-  boost::system::error_code ignored;
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(Idle(kSeconds), ignored);
-  socket.set_option(Interval(kSeconds), ignored);
-  socket.set_option(Probes(kProbes), ignored);
-}
-
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& io,
@@ -114,10 +102,8 @@
         self->connected_ = true;
         boost::system::error_code ignored;
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-        using UnsentTimeout =
-            asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-        self->socket_.set_option(UnsentTimeout(kUnsentTimeoutMs), ignored);
-        KeepAlive(self->socket_);
+        LimitUnacknowledged(self->socket_.native_handle(), kUnsentTimeoutMs);
+        ProbeSilentPeer(self->socket_.native_handle(), kProbes);
         self->WriteRequest();
         self->ReadMore();
       });
@@ -192,6 +178,9 @@
       continue;
     }
     if (error == http::error::need_more || used == 0) {
+      if (buffer_.size() > kLongestUnparsed) {
+        End(ExchangeEnd::kBroken);
+      }
       return;
     }
   }
@@ -257,6 +246,7 @@
 
 auto ServerConnection::End(ExchangeEnd end) -> void {
   if (end != ExchangeEnd::kWhole) {
+    DropUnsentOnClose(socket_.native_handle());
     Close();
   }
   const auto exchange = std::exchange(exchange_, nullptr);
@@ -266,7 +256,9 @@
 }
 
 auto ServerConnection::Cancel() -> void {
-  exchange_ = nullptr;
+  if (std::exchange(exchange_, nullptr) != nullptr) {
+    DropUnsentOnClose(socket_.native_handle());
+  }
   Close();
 }
 
--- a/tests/concurrent/peer_transport_test.cc
+++ b/tests/concurrent/peer_transport_test.cc
@@ -1,9 +1,17 @@
 #include "libzinniastep/runtime/peer_transport.h"
 
+#include <sys/socket.h>
+
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <set>
 #include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <gtest/gtest.h>
 
@@ -46,6 +54,56 @@
   EXPECT_EQ(collector.WaitFor(sent.size()), sent);
 }
 
+// A peer whose queue of new connections is full drops opening packets, as a cut
+// does. The system alone asks again after pauses of a second and more.
+TEST(PeerTransportTest, ReachesAPeerSoonAfterItTakesConnectionsAgain) {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  asio::io_context io;
+  tcp::acceptor acceptor(io);
+  const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  acceptor.open(any.protocol());
+  acceptor.bind(any);
+  acceptor.listen(0);
+  const tcp::endpoint full = acceptor.local_endpoint();
+  std::vector<tcp::socket> waiting;
+  for (int i = 0; i < 3; ++i) {
+    waiting.emplace_back(io);
+    waiting.back().open(any.protocol());
+    waiting.back().native_non_blocking(true);
+    // The library's own call would wait for the connection.
+    (void)::connect(waiting.back().native_handle(), full.data(), full.size());
+  }
+  auto sender = PeerTransport::Listen("127.0.0.1:0", [](std::string_view) {});
+  ASSERT_TRUE(sender.ok());
+  const std::string address = "127.0.0.1:" + std::to_string(full.port());
+  const std::string message(50000, 'm');
+  (*sender)->Send(address, message);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  waiting.clear();
+  acceptor.non_blocking(true);
+  const auto end =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(400);
+  bool came = false;
+  std::vector<tcp::socket> accepted;
+  while (!came && std::chrono::steady_clock::now() < end) {
+    boost::system::error_code error;
+    while (!error) {
+      tcp::socket socket(io);
+      acceptor.accept(socket, error);
+      if (!error) {
+        accepted.push_back(std::move(socket));
+      }
+    }
+    (*sender)->Send(address, message);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    for (tcp::socket& one : accepted) {
+      came = came || one.available() >= message.size();
+    }
+  }
+  EXPECT_TRUE(came);
+}
+
 TEST(PeerTransportTest, ReportsAddressesThatCannotBeBound) {
   EXPECT_FALSE(
       PeerTransport::Listen("127.0.0.1", [](std::string_view) {}).ok());
--- a/tests/gateway/forward_decision_test.cc
+++ b/tests/gateway/forward_decision_test.cc
@@ -76,6 +76,26 @@
       At(0), After(SendOutcome::kNotSent), SendOutcome::kNotSent, false)));
 }
 
+TEST(ForwardDecision, TwoAnswersAreNeverJoined) {
+  for (const SendOutcome outcome : kFailures) {
+    ForwardProgress progress = After(outcome);
+    progress.repeat_rule = RepeatRule::kIdempotent;
+    progress.caller_has_bytes = true;
+    progress.may_have_run = true;
+    EXPECT_TRUE(std::holds_alternative<BreakOff>(
+        DecideNext(At(0), progress, outcome, true)))
+        << ToString(outcome);
+  }
+}
+
+TEST(ForwardDecision, AStalledStreamIsLeftLaterThanASlowOneIsLate) {
+  ForwardingRoute route;
+  route.target_latency = std::chrono::seconds(4);
+  route.longest_pause = std::chrono::milliseconds(1500);
+  EXPECT_GT(LongestStall(route, 0.0), 2 * route.longest_pause);
+  EXPECT_LT(LongestStall(route, 12000.0), std::chrono::seconds(10));
+}
+
 TEST(ForwardDecision, APartOfAnAnswerIsBrokenOffAndNeverFollowedByAnother) {
   ForwardProgress progress = After(SendOutcome::kBroken);
   progress.caller_has_bytes = true;
--- a/tests/gateway/placing_hints_test.cc
+++ b/tests/gateway/placing_hints_test.cc
@@ -1,3 +1,7 @@
+#include <map>
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "libzinniastep/gateway/front_advice.h"
@@ -88,6 +92,36 @@
   EXPECT_EQ(AdviseFronts(view, RegionId("")).size(), 3U);
 }
 
+// An answer that is at hand is not given up for one that comes too late.
+TEST(ModelLadder, ALateAnswerIsNotAskedForAgain) {
+  using std::chrono::milliseconds;
+  EXPECT_TRUE(LeavesTimeForAnother(milliseconds(300), milliseconds(3700)));
+  EXPECT_FALSE(LeavesTimeForAnother(milliseconds(4000), milliseconds(900)));
+  EXPECT_FALSE(LeavesTimeForAnother(milliseconds(10), milliseconds(-1)));
+}
+
+// In a large fleet each failure domain has its part, and the loss of one leaves
+// callers most of what they know.
+TEST(FrontAdvice, SomeHostsOfEachDomainArePreferred) {
+  std::vector<HostIdentity> hosts;
+  for (int index = 0; index < 295; ++index) {
+    HostIdentity host;
+    host.host = HostId("h" + std::to_string(index));
+    host.domain = FailureDomainId("d" + std::to_string(index % 6));
+    hosts.push_back(host);
+  }
+  std::map<FailureDomainId, int> by_domain;
+  for (const HostIdentity& host : PreferredFronts(hosts)) {
+    ++by_domain[host.domain];
+  }
+  ASSERT_EQ(by_domain.size(), 6U);
+  for (const auto& [domain, count] : by_domain) {
+    EXPECT_EQ(count, 12) << domain.text();
+  }
+  hosts.resize(8);
+  EXPECT_EQ(PreferredFronts(hosts).size(), 8U) << "all of a small fleet";
+}
+
 TEST(FrontAdvice, NamesNoMoreThanCallersTake) {
   TrafficView view;
   for (int host = 0; host < 200; ++host) {
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "libzinniastep/traffic/http_text.h"
@@ -43,19 +44,36 @@
   generate.streaming = true;
   generate.resumable = true;
   generate.models = {"small", "large"};
+  ForwardingRoute stall = Route("/stall/");
+  stall.streaming = true;
+  stall.resumable = true;
+  stall.target_latency = std::chrono::milliseconds(400);
+  stall.longest_pause = std::chrono::milliseconds(400);
   ForwardingService service;
   service.id = ServiceId("pool");
   ForwardingAccount account;
   account.id = ClientAccountId("farm");
   account.keys = {"k"};
   return std::make_shared<const TrafficPolicy>(
-      1, std::vector{once, idem, generate}, std::vector{service},
+      1, std::vector{once, idem, generate, stall}, std::vector{service},
       std::vector{account}, CallerLimits());
 }
 
+auto AddressesOf(const std::vector<const ScriptedServer*>& servers)
+    -> ServerAddresses {
+  ServerAddresses addresses;
+  for (const ScriptedServer* server : servers) {
+    addresses.list.push_back(server->address());
+  }
+  return addresses;
+}
+
 }  // namespace
 
 EngineHost::EngineHost(const std::vector<const ScriptedServer*>& servers)
+    : EngineHost(AddressesOf(servers)) {}
+
+EngineHost::EngineHost(const ServerAddresses& servers)
     : work_(io_.get_executor()) {
   GatewaySettings settings;
   settings.host = HostId("h");
@@ -68,11 +86,11 @@
       io_, settings, platform::Headers(), metrics_, [](const LogEvent&) {}, 1);
   auto view = std::make_shared<TrafficView>();
   view->policy = Policy();
-  for (std::size_t index = 0; index < servers.size(); ++index) {
+  for (std::size_t index = 0; index < servers.list.size(); ++index) {
     BackendEntry entry;
     entry.id = BackendServerId("s" + std::to_string(index));
     entry.service = ServiceId("pool");
-    entry.address = servers[index]->address();
+    entry.address = servers.list[index];
     entry.domain = FailureDomainId("north");
     entry.slots = 8;
     view->backends.push_back({entry, Instant()});
@@ -124,6 +142,28 @@
   return answer;
 }
 
+auto EngineHost::CallUntil(const std::string& request,
+                           std::chrono::milliseconds most) -> CallerAnswer {
+  asio::io_context io;
+  boost::beast::tcp_stream stream(io);
+  stream.socket().connect({asio::ip::make_address("127.0.0.1"), port_});
+  asio::write(stream.socket(), asio::buffer(request));
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  CallerAnswer answer;
+  stream.expires_after(most);
+  http::async_read(stream, buffer, parser,
+                   [&](boost::system::error_code error, std::size_t) {
+                     answer.whole = !error && parser.is_done();
+                   });
+  io.run();
+  if (parser.is_header_done()) {
+    answer.status = static_cast<int>(parser.get().result_int());
+  }
+  answer.body = parser.get().body();
+  return answer;
+}
+
 auto EngineHost::CallAndLeave(const std::string& request,
                               const std::function<bool()>& left) -> void {
   asio::io_context io;
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_TRAFFIC_ENGINE_HOST_H_
 #define TESTS_TRAFFIC_ENGINE_HOST_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -28,12 +29,20 @@
   bool whole = false;
 };
 
+// Where servers listen, as "address:port".
+struct ServerAddresses {
+  std::vector<std::string> list;
+};
+
 // A traffic engine with its listener on loopback, in front of scripted servers.
 // Routes: "/once/" (at most once), "/idem/" (idempotent) and "/gen/"
-// (resumable streams with a cascade of "small" and "large").
+// (resumable streams with a cascade of "small" and "large"); "/stall/" has
+// streams whose target and pauses are short.
 class EngineHost {
  public:
   explicit EngineHost(const std::vector<const ScriptedServer*>& servers);
+  // The same in front of servers at these addresses.
+  explicit EngineHost(const ServerAddresses& servers);
   EngineHost(const EngineHost&) = delete;
   auto operator=(const EngineHost&) -> EngineHost& = delete;
   ~EngineHost();
@@ -41,6 +50,10 @@
   // Sends bytes on a new connection and reads one answer.
   auto Call(const std::string& request) -> CallerAnswer;
 
+  // The same, but leaves when the answer is not over after a while.
+  auto CallUntil(const std::string& request, std::chrono::milliseconds most)
+      -> CallerAnswer;
+
   // Sends bytes and leaves when `left` says so.
   auto CallAndLeave(const std::string& request,
                     const std::function<bool()>& left) -> void;
--- a/tests/traffic/forwarding_test.cc
+++ b/tests/traffic/forwarding_test.cc
@@ -1,12 +1,14 @@
 #include <atomic>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
 #include "tests/process/child_process.h"
 #include "tests/traffic/engine_host.h"
 #include "tests/traffic/scripted_server.h"
+#include "tests/traffic/slow_reader.h"
 
 namespace zinniastep::testing {
 namespace {
@@ -196,6 +198,172 @@
   EXPECT_FALSE(answer.whole);
 }
 
+// What a server says instead of the rest of a stream is no part of it.
+TEST(Forwarding, ARefusalToGoOnLeavesNoTraceInTheStream) {
+  std::atomic<int> sends = 0;
+  const auto script = [&sends](const std::string&) {
+    switch (++sends) {
+      case 1:
+        return ScriptedAnswer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2)),
+                              true};
+      case 2:
+        return ScriptedAnswer{Answer("503 Service Unavailable",
+                                     "Zinniastep-Not-Executed: 1\r\n",
+                                     "all places are taken")};
+      default:
+        return ScriptedAnswer{StreamHead() + Chunk(Event(3)) + kLastChunk};
+    }
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  const ScriptedServer third(script);
+  EngineHost host({&first, &second, &third});
+  const CallerAnswer answer = host.Call(EngineHost::Request("/gen/"));
+  EXPECT_EQ(sends, 3);
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Event(1) + Event(2) + Event(3));
+}
+
+TEST(Forwarding, APlainAnswerDoesNotCompleteAStreamThatBroke) {
+  std::atomic<int> sends = 0;
+  const auto script = [&sends](const std::string&) {
+    return ++sends == 1
+               ? ScriptedAnswer{StreamHead() + Chunk(Event(1)), true}
+               : ScriptedAnswer{Answer("200 OK", "", "a plain answer")};
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  EngineHost host({&first, &second});
+  const CallerAnswer answer = host.Call(EngineHost::Request("/gen/"));
+  EXPECT_FALSE(answer.whole);
+  EXPECT_EQ(answer.body, Event(1));
+}
+
+TEST(Forwarding, AHalfAnswerIsNotCompleteHoweverItWasFramed) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
+      "Zinniastep-Server-Signature: s\r\n";
+  const std::string long_part(std::size_t{2} << 20U, 'p');
+  const std::vector<std::string> halves = {
+      head + "Content-Length: 9\r\n\r\nab",
+      head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\n4\r\nab",
+      head + "Content-Encoding: gzip\r\nContent-Length: 9\r\n\r\nab",
+      head + "Content-Length: 9\r\n\r\n",
+      head + "Content-Length: 4000000\r\n\r\n" + long_part,
+      head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(long_part),
+      "HTTP/1.1 103 Early Hints\r\n\r\n" + head};
+  for (const std::string& half : halves) {
+    const auto script = [&half](const std::string&) {
+      return ScriptedAnswer{half, true};
+    };
+    const ScriptedServer first(script);
+    const ScriptedServer second(script);
+    EngineHost host({&first, &second});
+    for (const char* path : {"/once/", "/idem/", "/gen/"}) {
+      const CallerAnswer answer = host.Call(EngineHost::Request(path));
+      EXPECT_FALSE(answer.whole && answer.status == 200)
+          << path << " " << half.substr(0, 200);
+    }
+  }
+}
+
+// Two answers are never joined, whatever may be repeated.
+TEST(Forwarding, ALongAnswerThatBreaksIsNotBegunAnew) {
+  const std::string part(std::size_t{2} << 20U, 'p');
+  const auto script = [&part](const std::string&) {
+    return ScriptedAnswer{
+        "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
+        "Content-Length: 4000000\r\n\r\n" +
+            part,
+        true};
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  EngineHost host({&first, &second});
+  EXPECT_FALSE(host.Call(EngineHost::Request("/idem/")).whole);
+  EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
+// A server in trouble sends bytes until its connection is closed.
+struct EndlessAnswer {
+  const char* name;
+  std::string begin;
+  std::string drip;
+  // Bytes that the server may get rid of, those in the system's buffers too.
+  std::size_t most = std::size_t{16} << 20U;
+};
+
+TEST(Forwarding, BytesWithoutEndEndTheConnectionAndGiveATrueStatus) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
+      "Zinniastep-Server-Signature: s\r\n";
+  const std::string stuff(16384, 'z');
+  const std::vector<EndlessAnswer> answers = {
+      {"no answer", "", stuff},
+      {"head", "HTTP/1.1 200 OK\r\n", "X-More: " + stuff + "\r\n"},
+      {"header line", "HTTP/1.1 200 OK\r\nX-More: ", stuff},
+      {"chunk header", head + "Transfer-Encoding: chunked\r\n\r\n1;", stuff},
+      {"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", stuff},
+      {"event",
+       head + "Content-Type: text/event-stream\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n",
+       Chunk(stuff)},
+      {"failure's body",
+       "HTTP/1.1 500 Oh\r\nZinniastep-Attempt-Id: a1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       Chunk(stuff)},
+      {"body until close", head + "\r\n", stuff, std::size_t{96} << 20U}};
+  for (const EndlessAnswer& endless : answers) {
+    const ScriptedServer server([&endless](const std::string&) {
+      ScriptedAnswer answer{endless.begin};
+      answer.drip = endless.drip;
+      return answer;
+    });
+    EngineHost host({&server});
+    const CallerAnswer answer = host.Call(EngineHost::Request("/gen/"));
+    EXPECT_FALSE(answer.whole && answer.status == 200) << endless.name;
+    EXPECT_NE(answer.status, 503) << endless.name << ": it may have run";
+    EXPECT_TRUE(Eventually([&server] { return server.abandoned() == 1; }))
+        << endless.name;
+    EXPECT_LE(server.dripped(), endless.most) << endless.name;
+  }
+}
+
+TEST(Forwarding, AStreamThatBringsBytesButNoEventGoesOnElsewhere) {
+  std::atomic<int> sends = 0;
+  const auto script = [&sends](const std::string&) {
+    if (++sends == 1) {
+      ScriptedAnswer answer{StreamHead() + Chunk(Event(1))};
+      answer.drip = Chunk(":");
+      answer.drip_pause = std::chrono::milliseconds(100);
+      return answer;
+    }
+    return ScriptedAnswer{StreamHead() + Chunk(Event(2)) + kLastChunk};
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  EngineHost host({&first, &second});
+  const CallerAnswer answer = host.Call(EngineHost::Request("/stall/"));
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Event(1) + Event(2));
+}
+
+// Seconds between events are slow, but sound.
+TEST(Forwarding, ASlowStreamIsNotCut) {
+  const ScriptedServer server([](const std::string&) {
+    ScriptedAnswer answer{StreamHead()};
+    answer.drip = Chunk(":") + Chunk("\n\nid: 1\ndata: t\n\n");
+    answer.drip_pause = std::chrono::milliseconds(1200);
+    return answer;
+  });
+  EngineHost host({&server});
+  const CallerAnswer answer =
+      host.CallUntil(EngineHost::Request("/stall/"), std::chrono::seconds(8));
+  EXPECT_EQ(server.requests().size(), 1U);
+  EXPECT_EQ(answer.status, 200);
+}
+
 TEST(Forwarding, ADoubtfulAnswerIsAskedForAgainOfTheLargestModel) {
   const ScriptedServer server([](const std::string& request) {
     const bool is_small = HeaderOf(request, "Zinniastep-Model") == "small";
@@ -223,6 +391,16 @@
   EXPECT_EQ(server.requests().size(), 1U);
 }
 
+// The network may hold a request back for seconds; nobody waits for it by then.
+TEST(Forwarding, ARequestWhoseCallerLeftIsNotSentOnLater) {
+  SlowReader server;
+  EngineHost host(ServerAddresses{{server.address()}});
+  const std::string body(std::size_t{3} << 20U, 'b');
+  host.CallAndLeave(EngineHost::Request("/once/", "", body),
+                    [&server] { return server.connections() > 0; });
+  ASSERT_TRUE(Eventually([&server] { return server.IsReset(); }));
+}
+
 TEST(Forwarding, ACallerThatLeavesEndsTheWorkAtTheServer) {
   const ScriptedServer server([](const std::string&) {
     return ScriptedAnswer{"", false, true};
--- a/tests/traffic/scripted_server.cc
+++ b/tests/traffic/scripted_server.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace zinniastep::testing {
@@ -28,9 +29,13 @@
 }  // namespace
 
 struct ScriptedServer::Session {
-  explicit Session(Tcp::socket accepted) : socket(std::move(accepted)) {}
+  explicit Session(Tcp::socket accepted)
+      : socket(std::move(accepted)), timer(socket.get_executor()) {}
 
   Tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::string drip;
+  std::chrono::milliseconds drip_pause{0};
   std::string received;
   std::array<char, 4096> chunk{};
   bool unanswered = false;
@@ -93,6 +98,12 @@
         boost::asio::write(session->socket, boost::asio::buffer(answer.bytes),
                            ignored);
         session->unanswered = answer.hang;
+        if (!answer.drip.empty()) {
+          session->drip = answer.drip;
+          session->drip_pause = answer.drip_pause;
+          Drip(session);
+          return;
+        }
         if (answer.close) {
           session->socket.close(ignored);
           return;
@@ -101,6 +112,21 @@
       });
 }
 
+auto ScriptedServer::Drip(const std::shared_ptr<Session>& session) -> void {
+  boost::asio::async_write(
+      session->socket, boost::asio::buffer(session->drip),
+      [this, session](boost::system::error_code error, std::size_t length) {
+        dripped_ += length;
+        if (error) {
+          ++abandoned_;
+          return;
+        }
+        session->timer.expires_after(session->drip_pause);
+        session->timer.async_wait(
+            [this, session](boost::system::error_code) { Drip(session); });
+      });
+}
+
 auto HeaderOf(const std::string& message, const std::string& name)
     -> std::string {
   const std::string start = "\r\n" + name + ": ";
--- a/tests/traffic/scripted_server.h
+++ b/tests/traffic/scripted_server.h
@@ -2,6 +2,8 @@
 #define TESTS_TRAFFIC_SCRIPTED_SERVER_H_
 
 #include <atomic>
+#include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -22,6 +24,10 @@
   bool close = false;
   // Goes on to keep the connection open, without a word.
   bool hang = false;
+  // Sent after the bytes again and again, with pauses, until the connection is
+  // closed; nothing when empty.
+  std::string drip = {};
+  std::chrono::milliseconds drip_pause{0};
 };
 
 // A backend server on loopback that answers as the test says, and keeps what
@@ -38,14 +44,18 @@
 
   [[nodiscard]] auto address() const -> std::string;
   [[nodiscard]] auto requests() const -> std::vector<std::string>;
-  // Connections that their sender closed while a request was unanswered.
+  // Connections that their sender closed while a request was unanswered, or
+  // while its answer went on without an end.
   [[nodiscard]] auto abandoned() const -> int { return abandoned_; }
+  // Bytes of answers that went on without an end, as far as they were taken.
+  [[nodiscard]] auto dripped() const -> std::size_t { return dripped_; }
 
  private:
   struct Session;
 
   auto Accept() -> void;
   auto Read(const std::shared_ptr<Session>& session) -> void;
+  auto Drip(const std::shared_ptr<Session>& session) -> void;
 
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -53,6 +63,7 @@
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::atomic<int> abandoned_ = 0;
+  std::atomic<std::size_t> dripped_ = 0;
   std::thread thread_;
 };
 
