Let hundreds of hosts meet and keep up on small links

Beside that, each change of one backend server sent the whole list (70 KB) to each host.

Hosts that start ask peers before the store, and sixteen are listed for joining. - Cold shares and speakers are found on a ring of hosts instead of by hashing all hosts for each server; shares go to hosts that callers are sent to. - gateway_core is divided: outbox, listing of servers, evidence, roll-out desk, newer states elsewhere, view. - The wire version is 2.

--- /dev/null
+++ b/src/libzinniastep/gateway/evidence_pool.cc
@@ -0,0 +1,46 @@
+#include "libzinniastep/gateway/evidence_pool.h"
+
+namespace zinniastep {
+
+namespace {
+
+// Evidence of a host that is silent for this long is dropped.
+constexpr Duration kLifetime = std::chrono::minutes(2);
+
+}  // namespace
+
+auto EvidencePool::AddOwn(const std::vector<VersionRow>& rows) -> void {
+  for (const VersionRow& row : rows) {
+    own_[row.key].Add(row.counts);
+    all_[row.key].Add(row.counts);
+  }
+}
+
+auto EvidencePool::TakePeers(Instant now,
+                             Incarnation peer,
+                             const std::vector<VersionRow>& rows) -> void {
+  PeerRows& known = peers_[peer];
+  Forget(known);
+  known = {now, rows};
+  for (const VersionRow& row : rows) {
+    all_[row.key].Add(row.counts);
+  }
+}
+
+auto EvidencePool::Forget(const PeerRows& peer) -> void {
+  for (const VersionRow& row : peer.rows) {
+    all_[row.key].Subtract(row.counts);
+  }
+}
+
+auto EvidencePool::Expire(Instant now) -> void {
+  std::erase_if(peers_, [&](const auto& item) {
+    if (now - item.second.told_at <= kLifetime) {
+      return false;
+    }
+    Forget(item.second);
+    return true;
+  });
+}
+
+}  // namespace zinniastep
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -1,9 +1,7 @@
 #ifndef LIBZINNIASTEP_GATEWAY_GATEWAY_CORE_H_
 #define LIBZINNIASTEP_GATEWAY_GATEWAY_CORE_H_
 
-#include <array>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -13,43 +11,25 @@
 
 #include "libzinniastep/base/random.h"
 #include "libzinniastep/base/time.h"
-#include "libzinniastep/core/action.h"
 #include "libzinniastep/core/effects.h"
 #include "libzinniastep/core/host_identity.h"
+#include "libzinniastep/gateway/backend_listing.h"
 #include "libzinniastep/gateway/backend_roster.h"
+#include "libzinniastep/gateway/gateway_action.h"
+#include "libzinniastep/gateway/gateway_outbox.h"
 #include "libzinniastep/gateway/gateway_settings.h"
+#include "libzinniastep/gateway/host_ring.h"
 #include "libzinniastep/gateway/messages.h"
+#include "libzinniastep/gateway/newer_elsewhere.h"
 #include "libzinniastep/gateway/record_decoders.h"
 #include "libzinniastep/gateway/record_mirror.h"
 #include "libzinniastep/gateway/record_watcher.h"
-#include "libzinniastep/gateway/rollout_guard.h"
-#include "libzinniastep/gateway/version_evidence.h"
+#include "libzinniastep/gateway/rollout_desk.h"
+#include "libzinniastep/gateway/view_builder.h"
 #include "libzinniastep/membership/membership.h"
 
 namespace zinniastep {
 
-// Write this host's addresses into the store, for others to join through.
-struct RegisterHost {
-  HostIdentity identity;
-};
-
-// A newer view is there for the traffic thread.
-struct PublishView {
-  std::shared_ptr<const TrafficView> view;
-};
-
-using GatewayAction = std::variant<ListRecords,
-                                   WatchRecords,
-                                   RolloutStatusWrite,
-                                   RegisterHost,
-                                   ReadHostList,
-                                   PublishView,
-                                   SendToPeer,
-                                   LogEvent>;
-
-// How a write to the store ended.
-enum class WriteOutcome : std::uint8_t { kDone, kConflict, kRefused, kSilent };
-
 // The control state of a gateway host: what the store and the peers say, which
 // hosts live, and how far roll-outs are. It touches no socket and no clock;
 // one thread uses it.
@@ -86,40 +66,32 @@
   [[nodiscard]] auto IsReady() const -> bool { return published_; }
 
  private:
-  struct NewerElsewhere {
-    PeerRef peer;
-    Instant since;
-    bool asked = false;
-  };
   // A host that the store answered, and when.
   struct StoreWord {
     HostId reader;
     Instant at;
   };
-  struct PendingWrite {
-    Instant due_since;
-    Instant not_before;
-    bool under_way = false;
-  };
 
   auto Records(Instant now, RecordKind kind) -> void;
   auto ReadPolicy() -> void;
-  auto ReadBackends(Instant now) -> void;
   auto ReadRollouts(Instant now) -> void;
   auto ReadEvacuations(Instant now) -> void;
 
   // Whether this host reads the store, or hears of it from peers that do.
   [[nodiscard]] auto ReadsStore(Instant now) const -> bool;
+  [[nodiscard]] auto KnowsAllKinds() const -> bool;
+  // Asks peers for the kinds of which this host knows nothing yet.
+  auto AskForMissing() -> void;
+  // This host's place among those of its region that read for all.
+  [[nodiscard]] auto ReaderRank() const -> std::size_t;
+  auto Register(Instant now) -> void;
   auto StartReads(Instant now) -> void;
   auto SpreadDigests(Instant now) -> void;
   auto AskForNewer(Instant now) -> void;
-  auto ShareEvidence(Instant now) -> void;
-  auto JudgeRollouts(Instant now) -> void;
-  auto WriteStatuses(Instant now) -> void;
-  auto NoteHosts(Instant now) -> void;
+  // A roll-out's split changed: the view does, and peers hear of it.
+  auto OnSplitChanged(Instant now) -> void;
+  auto NoteHosts() -> void;
   auto Publish(Instant now) -> void;
-  auto SendTo(const HostIdentity& peer, GatewayMessage message) -> void;
-  auto SendToSome(std::size_t most, const GatewayMessage& message) -> void;
   auto Take(Instant now) -> std::vector<GatewayAction>;
 
   auto Handle(Instant now, const PeerRef& from, const std::monostate& message)
@@ -130,20 +102,15 @@
       -> void;
   auto Handle(Instant now, const PeerRef& from, const RecordSnapshot& snapshot)
       -> void;
+  auto Handle(Instant now, const PeerRef& from, const RecordDelta& delta)
+      -> void;
   auto Handle(Instant now, const PeerRef& from, const OwnEvidence& evidence)
       -> void;
   auto Handle(Instant now, const PeerRef& from, const VersionFault& fault)
       -> void;
 
   [[nodiscard]] auto Digest(Instant now) const -> HostDigest;
-  [[nodiscard]] auto AllEvidence() const -> VersionEvidence;
-  // This host's place among those that may speak for a name; 0 speaks first.
-  [[nodiscard]] auto RankFor(const std::string& name) const -> std::size_t;
-  [[nodiscard]] auto ColdRates() const -> std::map<BackendServerId, double>;
-  [[nodiscard]] auto Fronts() const -> std::vector<FrontAddress>;
-  // Backend servers of versions that no order covers yet are left out.
-  [[nodiscard]] auto AcceptedBackends(Instant now)
-      -> std::vector<UsableBackend>;
+  [[nodiscard]] auto IsNear(const PeerRef& peer) const -> bool;
 
   HostIdentity self_;
   GatewaySettings settings_;
@@ -151,38 +118,35 @@
   Random random_;
   Membership membership_;
   Effects membership_effects_;
+  GatewayOutbox outbox_;
+  // All live hosts, those of this host's region, and those that callers are
+  // sent to.
+  HostRing ring_;
+  HostRing region_ring_;
+  HostRing preferred_ring_;
+  std::vector<FrontAddress> fronts_;
   RecordMirror mirror_;
   std::vector<RecordWatcher> watchers_;
+  NewerElsewhere newer_elsewhere_;
+  BackendListing listing_;
   BackendRoster roster_;
-  RolloutGuard rollouts_;
+  RolloutDesk rollouts_;
+  ViewBuilder view_builder_;
   std::shared_ptr<const TrafficPolicy> policy_;
   std::set<FailureDomainId> evacuated_;
-  VersionEvidence own_evidence_;
-  std::map<Incarnation, std::pair<Instant, std::vector<VersionRow>>>
-      peer_evidence_;
-  std::map<RecordKind, NewerElsewhere> newer_elsewhere_;
-  std::map<std::string, PendingWrite> pending_writes_;
-  // When each version of a service was first listed.
-  std::map<std::pair<ServiceId, std::string>, Instant> version_seen_;
-  std::set<std::string> unreadable_;
-  // The backend servers as last listed, to log what changes.
-  std::map<BackendServerId, BackendEntry> listed_;
-  std::vector<GatewayAction> actions_;
   std::uint64_t hosts_revision_ = 0;
   std::size_t most_hosts_ = 0;
   bool registered_ = false;
   bool registering_ = false;
   bool dirty_ = true;
   bool published_ = false;
-  bool evidence_changed_ = false;
-  bool leaving_ = false;
-  std::optional<Instant> started_;
+  Instant started_;
+  bool is_started_ = false;
   // When the store last answered this host, and another one by what peers say.
   Instant own_word_;
   StoreWord peers_word_;
   Instant next_register_;
   Instant next_digest_;
-  Instant next_evidence_;
   // A view is built anew by then, as time alone changes it.
   std::optional<Instant> next_publish_;
 };
--- /dev/null
+++ b/src/libzinniastep/gateway/gateway_outbox.cc
@@ -0,0 +1,44 @@
+#include "libzinniastep/gateway/gateway_outbox.h"
+
+namespace zinniastep {
+
+GatewayOutbox::GatewayOutbox(const Membership& membership, std::uint64_t seed)
+    : membership_(membership), random_(seed) {}
+
+auto GatewayOutbox::Log(std::string event,
+                        std::initializer_list<LogField> fields) -> void {
+  actions_.emplace_back(LogEvent{std::move(event), fields});
+}
+
+auto GatewayOutbox::Send(const HostIdentity& peer, GatewayMessage message)
+    -> void {
+  actions_.emplace_back(SendToPeer{peer.host, peer.peer_address,
+                                   PeerMessage(std::move(message))});
+}
+
+auto GatewayOutbox::Send(const PeerRef& peer, GatewayMessage message) -> void {
+  actions_.emplace_back(
+      SendToPeer{peer.host, peer.address, PeerMessage(std::move(message))});
+}
+
+auto GatewayOutbox::SendToSome(std::size_t most, const GatewayMessage& message)
+    -> void {
+  std::vector<const HostIdentity*> peers;
+  for (const HostIdentity& host : membership_.live_hosts()) {
+    if (host.host != membership_.self().host) {
+      peers.push_back(&host);
+    }
+  }
+  for (std::size_t sent = 0; sent < most && !peers.empty(); ++sent) {
+    const std::size_t drawn = random_.Below(peers.size());
+    Send(*peers[drawn], message);
+    peers[drawn] = peers.back();
+    peers.pop_back();
+  }
+}
+
+auto GatewayOutbox::Take() -> std::vector<GatewayAction> {
+  return std::exchange(actions_, {});
+}
+
+}  // namespace zinniastep
--- a/src/libzinniastep/gateway/messages.h
+++ b/src/libzinniastep/gateway/messages.h
@@ -33,13 +33,16 @@
   }
 };
 
-// Asks for the sender's state of one kind.
+// Asks for the receiver's state of one kind.
 struct RecordsRequest {
   RecordKind kind = RecordKind::kConfiguration;
+  // The revision of the sender's own state, from which changes suffice; zero
+  // asks for the whole state.
+  std::uint64_t as_of = 0;
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(kind);
+    archive(kind, as_of);
   }
 };
 
@@ -83,7 +86,8 @@
                                     RecordsRequest,
                                     RecordSnapshot,
                                     OwnEvidence,
-                                    VersionFault>;
+                                    VersionFault,
+                                    RecordDelta>;
 
 }  // namespace zinniastep
 
--- a/src/libzinniastep/gateway/record_mirror.cc
+++ b/src/libzinniastep/gateway/record_mirror.cc
@@ -1,39 +1,86 @@
 #include "libzinniastep/gateway/record_mirror.h"
 
-#include <algorithm>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "libzinniastep/base/hash.h"
 
 namespace zinniastep {
 
-auto RecordMirror::HashOf(const std::map<std::string, StoredRecord>& records)
-    -> std::uint64_t {
-  std::uint64_t hash = records.size();
-  for (const auto& [name, record] : records) {
-    hash = StableHash(name, hash + record.revision);
-  }
-  return hash;
+namespace {
+
+// Removals of a kind that are remembered; a host that is further behind takes
+// the whole state.
+constexpr std::size_t kMostRemovals = 4096;
+
+auto HashOf(const StoredRecord& record) -> std::uint64_t {
+  return StableHash(record.name, record.revision);
 }
 
+}  // namespace
+
 auto RecordMirror::At(RecordKind kind) const -> const Kind& {
   return kinds_.at(static_cast<std::size_t>(kind));
 }
 
+// The hash of a state is the sum over its objects, so that a change costs no
+// more than what it changes.
+auto RecordMirror::Put(Kind& kind, const StoredRecord& record) -> bool {
+  const auto [found, is_new] = kind.records.try_emplace(record.name, record);
+  if (!is_new) {
+    if (found->second.revision >= record.revision) {
+      return false;
+    }
+    kind.hash ^= HashOf(found->second);
+    found->second = record;
+  }
+  kind.hash ^= HashOf(record);
+  return true;
+}
+
+auto RecordMirror::Remove(Kind& kind,
+                          const std::string& name,
+                          std::uint64_t as_of) -> bool {
+  const auto found = kind.records.find(name);
+  if (found == kind.records.end()) {
+    return false;
+  }
+  kind.hash ^= HashOf(found->second);
+  kind.records.erase(found);
+  kind.removals.push_back({as_of, name});
+  if (kind.removals.size() > kMostRemovals) {
+    kind.removals_from = kind.removals.front().as_of;
+    kind.removals.pop_front();
+  }
+  return true;
+}
+
 auto RecordMirror::Replace(const RecordSnapshot& snapshot) -> bool {
   Kind& kind = kinds_.at(static_cast<std::size_t>(snapshot.kind));
   if (kind.known && snapshot.as_of < kind.as_of) {
     return false;
   }
-  std::map<std::string, StoredRecord> records;
-  for (const StoredRecord& record : snapshot.records) {
-    records[record.name] = record;
+  bool changed = !kind.known;
+  if (!kind.known) {
+    kind.known = true;
+    kind.removals_from = snapshot.as_of;
   }
-  const bool changed = !kind.known || records != kind.records;
-  kind.known = true;
   kind.as_of = snapshot.as_of;
-  kind.records = std::move(records);
-  kind.hash = HashOf(kind.records);
+  std::set<std::string_view> listed;
+  for (const StoredRecord& record : snapshot.records) {
+    listed.insert(record.name);
+    changed = Put(kind, record) || changed;
+  }
+  std::vector<std::string> gone;
+  for (const auto& [name, record] : kind.records) {
+    if (!listed.contains(name)) {
+      gone.push_back(name);
+    }
+  }
+  for (const std::string& name : gone) {
+    changed = Remove(kind, name, kind.as_of) || changed;
+  }
   return changed;
 }
 
@@ -44,30 +91,69 @@
   if (!kind.known || as_of <= kind.as_of) {
     return false;
   }
+  kind.as_of = as_of;
   bool changed = false;
   for (const RecordChange& change : changes) {
-    const auto found = kind.records.find(change.record.name);
-    if (change.removed) {
-      // A removal carries the revision of the object's last change, so that
-      // an object created anew since then stays.
-      if (found != kind.records.end() &&
-          found->second.revision <= change.record.revision) {
-        kind.records.erase(found);
-        changed = true;
-      }
+    if (!change.removed) {
+      changed = Put(kind, change.record) || changed;
       continue;
     }
-    if (found == kind.records.end() ||
-        found->second.revision < change.record.revision) {
-      kind.records[change.record.name] = change.record;
-      changed = true;
+    // A removal carries the revision of the object's last change, so that an
+    // object created anew since then stays.
+    const auto found = kind.records.find(change.record.name);
+    if (found != kind.records.end() &&
+        found->second.revision <= change.record.revision) {
+      changed = Remove(kind, change.record.name, as_of) || changed;
     }
   }
-  kind.as_of = as_of;
-  kind.hash = HashOf(kind.records);
   return changed;
 }
 
+auto RecordMirror::Apply(const RecordDelta& delta) -> DeltaOutcome {
+  Kind& kind = kinds_.at(static_cast<std::size_t>(delta.kind));
+  if (!kind.known || kind.as_of < delta.from) {
+    return DeltaOutcome::kUnfit;
+  }
+  if (kind.as_of >= delta.as_of) {
+    return DeltaOutcome::kKnown;
+  }
+  kind.as_of = delta.as_of;
+  bool changed = false;
+  for (const std::string& name : delta.removed) {
+    changed = Remove(kind, name, delta.as_of) || changed;
+  }
+  for (const StoredRecord& record : delta.records) {
+    changed = Put(kind, record) || changed;
+  }
+  if (kind.hash != delta.hash) {
+    return DeltaOutcome::kUnfit;
+  }
+  return changed ? DeltaOutcome::kChanged : DeltaOutcome::kKnown;
+}
+
+auto RecordMirror::ChangesSince(RecordKind kind_name, std::uint64_t as_of) const
+    -> std::optional<RecordDelta> {
+  const Kind& kind = At(kind_name);
+  if (!kind.known || as_of < kind.removals_from || as_of >= kind.as_of) {
+    return std::nullopt;
+  }
+  RecordDelta delta{kind_name, as_of, kind.as_of, kind.hash, {}, {}};
+  for (const auto& [name, record] : kind.records) {
+    if (record.revision > as_of) {
+      delta.records.push_back(record);
+    }
+  }
+  for (const Removal& removal : kind.removals) {
+    if (removal.as_of > as_of && !kind.records.contains(removal.name)) {
+      delta.removed.push_back(removal.name);
+    }
+  }
+  if (delta.records.size() >= kind.records.size()) {
+    return std::nullopt;
+  }
+  return delta;
+}
+
 auto RecordMirror::IsNewer(RecordKind kind_name,
                            const RecordDigest& digest) const -> bool {
   const Kind& kind = At(kind_name);
--- a/src/libzinniastep/gateway/record_mirror.h
+++ b/src/libzinniastep/gateway/record_mirror.h
@@ -4,7 +4,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +56,34 @@
   }
 };
 
+// What changed in a kind between two revisions of the store.
+struct RecordDelta {
+  RecordKind kind = RecordKind::kConfiguration;
+  // The change leads from any state at `from` or later to the one at `as_of`.
+  std::uint64_t from = 0;
+  std::uint64_t as_of = 0;
+  // Of all objects at `as_of`, as in a digest.
+  std::uint64_t hash = 0;
+  std::vector<StoredRecord> records;
+  // Names of objects that are gone.
+  std::vector<std::string> removed;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(kind, from, as_of, hash, records, removed);
+  }
+};
+
+// What became of a change that a peer told.
+enum class DeltaOutcome : std::uint8_t {
+  // It holds nothing that this host does not know.
+  kKnown,
+  kChanged,
+  // It does not follow on what this host knows, or leads to another state than
+  // the peer's: a whole state is needed.
+  kUnfit,
+};
+
 // Names the state of one kind without its contents.
 struct RecordDigest {
   std::uint64_t as_of = 0;
@@ -75,6 +105,9 @@
   // Takes a whole state. Returns whether the contents changed.
   auto Replace(const RecordSnapshot& snapshot) -> bool;
 
+  // Takes a peer's changes.
+  auto Apply(const RecordDelta& delta) -> DeltaOutcome;
+
   // Takes changes of a watch up to a revision. Changes that the mirror has
   // already passed are skipped. Returns whether the contents changed.
   auto Apply(RecordKind kind,
@@ -87,21 +120,34 @@
 
   [[nodiscard]] auto Digest(RecordKind kind) const -> RecordDigest;
   [[nodiscard]] auto Snapshot(RecordKind kind) const -> RecordSnapshot;
+  // Returns what changed since a revision, or nothing when that is too long ago
+  // to tell, or not less than the whole state.
+  [[nodiscard]] auto ChangesSince(RecordKind kind, std::uint64_t as_of) const
+      -> std::optional<RecordDelta>;
   // Whether any state of the kind is known.
   [[nodiscard]] auto IsKnown(RecordKind kind) const -> bool;
   [[nodiscard]] auto records(RecordKind kind) const
       -> const std::map<std::string, StoredRecord>&;
 
  private:
+  // An object that was found gone when the state reached a revision.
+  struct Removal {
+    std::uint64_t as_of = 0;
+    std::string name;
+  };
   struct Kind {
     bool known = false;
     std::uint64_t as_of = 0;
     std::uint64_t hash = 0;
     std::map<std::string, StoredRecord> records;
+    // Removals after a revision, oldest first.
+    std::deque<Removal> removals;
+    std::uint64_t removals_from = 0;
   };
 
-  static auto HashOf(const std::map<std::string, StoredRecord>& records)
-      -> std::uint64_t;
+  static auto Put(Kind& kind, const StoredRecord& record) -> bool;
+  static auto Remove(Kind& kind, const std::string& name, std::uint64_t as_of)
+      -> bool;
   [[nodiscard]] auto At(RecordKind kind) const -> const Kind&;
 
   std::array<Kind, kRecordKinds> kinds_;
--- a/src/libzinniastep/gateway/record_watcher.cc
+++ b/src/libzinniastep/gateway/record_watcher.cc
@@ -21,8 +21,9 @@
   pages_.kind = kind;
 }
 
-auto RecordWatcher::NextRead(Instant now) -> std::optional<RecordRead> {
-  if (reading_ || now < not_before_) {
+auto RecordWatcher::NextRead(Instant now, bool may_watch)
+    -> std::optional<RecordRead> {
+  if (reading_ || now < not_before_ || (!listing_ && !may_watch)) {
     return std::nullopt;
   }
   reading_ = true;
@@ -86,7 +87,9 @@
           [&](const RecordChanges& changes) -> std::optional<RecordSnapshot> {
             failures_ = 0;
             not_before_ =
-                changes.changes.empty() ? now : now + limits_.batch_pause;
+                changes.changes.empty()
+                    ? now
+                    : now + std::max(limits_.batch_pause, least_pause_);
             as_of_ = std::max(as_of_, changes.as_of);
             return std::nullopt;
           },
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -82,8 +82,17 @@
  public:
   RecordWatcher(RecordKind kind, WatcherLimits limits, std::uint64_t seed);
 
-  // Returns the read to make now, if any; the caller makes it once.
-  [[nodiscard]] auto NextRead(Instant now) -> std::optional<RecordRead>;
+  // Returns the read to make now, if any; the caller makes it once. Without
+  // `may_watch` it is only a list that is still owed.
+  [[nodiscard]] auto NextRead(Instant now, bool may_watch = true)
+      -> std::optional<RecordRead>;
+
+  // Lets changes collect for at least `pause` before the next watch, which ends
+  // after `wait` without one.
+  auto SetPace(Duration pause, Duration wait) -> void {
+    least_pause_ = pause;
+    limits_.watch_wait = wait;
+  }
 
   // Takes the result of the read under way. Returns a whole state when the
   // last page of a list came.
@@ -109,6 +118,7 @@
   std::uint64_t as_of_ = 0;
   std::uint32_t failures_ = 0;
   Instant not_before_;
+  Duration least_pause_{0};
   RecordSnapshot pages_;
 };
 
--- a/src/libzinniastep/gateway/version_evidence.h
+++ b/src/libzinniastep/gateway/version_evidence.h
@@ -29,6 +29,14 @@
     log_slowness += other.log_slowness;
   }
 
+  // Takes back what was added before.
+  auto Subtract(const VersionCounts& other) -> void {
+    answers -= other.answers;
+    failures -= other.failures;
+    timed -= other.timed;
+    log_slowness -= other.log_slowness;
+  }
+
   template <class Archive>
   auto serialize(Archive& archive) -> void {
     archive(answers, failures, timed, log_slowness);
--- a/src/libzinniastep/membership/membership.cc
+++ b/src/libzinniastep/membership/membership.cc
@@ -16,8 +16,18 @@
 constexpr std::uint32_t kSpreadFactor = 3;
 // A process that found no peer for so many probe periods goes on alone.
 constexpr int kJoinPeriods = 5;
-// Addresses outside the table that are contacted in one probe period.
+// Hosts that are not live and that one host contacts in a probe period, at
+// most.
 constexpr std::size_t kStrangersPerPeriod = 3;
+// Of the lost hosts, the part that the whole fleet contacts in a probe period:
+// one that is back is found within two or three periods at any size.
+constexpr double kLostPartPerPeriod = 0.5;
+// Hosts that are drawn for each one asked to probe; the first half must be in
+// a third failure domain.
+constexpr std::uint32_t kTriesPerHelper = 4;
+// Records that a reply holds when this host has sent as many as it may: enough
+// to name others who can be asked.
+constexpr std::size_t kFewestRecordsPerSync = 4;
 
 auto Send(const HostId& to,
           const std::string& address,
@@ -42,6 +52,7 @@
 auto Membership::OnTime(Instant now, Effects& effects) -> void {
   if (!started_) {
     started_ = true;
+    sync_pause_ = settings_.probe_period;
     first_time_ = last_time_ = now;
     next_probe_ = next_sync_ = next_host_list_ = now;
   }
@@ -64,8 +75,7 @@
   if (now >= next_sync_) {
     // Whoever has not met its peers yet keeps asking: the first ones asked may
     // be starting as well.
-    next_sync_ =
-        now + (joined_ ? settings_.sync_period : settings_.probe_timeout);
+    next_sync_ = now + (joined_ ? sync_pause_ : settings_.probe_timeout);
     StartSync(now, effects);
   }
 }
@@ -113,13 +123,21 @@
 
 auto Membership::AskOthersToProbe(Effects& effects) -> void {
   probe_->indirect = true;
+  const HostIdentity* target = Find(probe_->target);
+  // Two domains that cannot reach each other are reached through a third.
+  const auto is_elsewhere = [&](const HostIdentity& helper) {
+    return helper.domain != self_.domain &&
+           (target == nullptr || helper.domain != target->domain);
+  };
   std::uint32_t asked = 0;
   for (std::uint32_t tries = 0;
-       tries < 2 * settings_.indirect_probes &&
+       tries < kTriesPerHelper * settings_.indirect_probes &&
        asked < settings_.indirect_probes && live_.size() > 2;
        ++tries) {
     const HostIdentity& helper = live_[random_.Below(live_.size())];
-    if (helper.host == self_.host || helper.host == probe_->target) {
+    if (helper.host == self_.host || helper.host == probe_->target ||
+        (tries < settings_.indirect_probes * kTriesPerHelper / 2 &&
+         !is_elsewhere(helper))) {
       continue;
     }
     ++asked;
@@ -159,6 +177,9 @@
   MemberRecord suspect = *held;
   suspect.state = MemberState::kSuspect;
   Accept(now, suspect, effects);
+  // One that lives hears of the doubt now, and not when others have told it on.
+  Send(host, suspect.identity.peer_address,
+       Ping{++sequence_, HostId(), Piggyback(host)}, effects);
 }
 
 auto Membership::ExpireSuspects(Instant now, Effects& effects) -> void {
@@ -184,29 +205,67 @@
 }
 
 // Seeds and listed hosts that are not in the table are asked for theirs: this
-// joins a new process, and joins two halves of a fleet again.
+// joins a new process, and joins two halves of a fleet again. Lost hosts are
+// pinged, and contradict when they live. The hosts share this work, since all
+// of them know of the same strangers.
 auto Membership::ContactStrangers(Effects& effects) -> void {
-  std::vector<std::string> addresses = settings_.seeds;
-  for (const ListedHost& listed : listed_) {
-    addresses.push_back(listed.address);
-  }
-  for (const auto& [host, since] : lost_since_) {
-    addresses.push_back(table_.Find(host)->identity.peer_address);
+  const auto live = static_cast<double>(live_.size());
+  const double wanted =
+      static_cast<double>(kStrangersPerPeriod) +
+      kLostPartPerPeriod * static_cast<double>(lost_since_.size());
+  const double share =
+      std::min(wanted / live, static_cast<double>(kStrangersPerPeriod));
+  auto count = static_cast<std::size_t>(share);
+  if (random_.Unit() < share - static_cast<double>(count)) {
+    ++count;
+  }
+  if (count == 0) {
+    return;
   }
   std::set<std::string> known;
   for (const HostIdentity& identity : live_) {
     known.insert(identity.peer_address);
   }
+  std::vector<std::string> addresses = settings_.seeds;
+  for (const ListedHost& listed : listed_) {
+    addresses.push_back(listed.address);
+  }
   std::erase_if(addresses, [&](const std::string& address) {
     return known.contains(address);
   });
-  const std::size_t count = std::min(addresses.size(), kStrangersPerPeriod);
-  for (std::size_t i = 0; i < count; ++i) {
-    const std::string& address = addresses[next_stranger_ % addresses.size()];
-    ++next_stranger_;
-    Send(HostId(), address, SyncRequest{OwnRecord(), table_.digests()},
-         effects);
-  }
+  std::vector<HostId> lost;
+  for (const auto& [host, since] : lost_since_) {
+    lost.push_back(host);
+  }
+  const std::size_t strangers = addresses.size() + lost.size();
+  const std::size_t first = strangers == 0 ? 0 : random_.Below(strangers);
+  for (std::size_t i = 0; i < std::min(count, strangers); ++i) {
+    const std::size_t drawn = (first + i) % strangers;
+    if (drawn < addresses.size()) {
+      Send(HostId(), addresses[drawn],
+           SyncRequest{OwnRecord(), table_.digests()}, effects);
+      continue;
+    }
+    const HostId& host = lost[drawn - addresses.size()];
+    Send(host, table_.Find(host)->identity.peer_address,
+         Ping{++sequence_, HostId(), Piggyback(host)}, effects);
+  }
+}
+
+// Hosts that start or return together ask for the whole table at once. What one
+// host sends is bounded, so that its link stays free for probes; those that got
+// little ask others.
+auto Membership::TakeSyncRecords(Instant now) -> std::size_t {
+  const double rate = settings_.sync_records_per_second;
+  sync_records_ = std::min(
+      rate,
+      sync_records_ +
+          rate * std::chrono::duration<double>(now - sync_records_at_).count());
+  sync_records_at_ = now;
+  const std::size_t records = std::clamp<std::size_t>(
+      static_cast<std::size_t>(sync_records_), kFewestRecordsPerSync,
+      std::max<std::size_t>(settings_.records_per_sync, kFewestRecordsPerSync));
+  return records;
 }
 
 auto Membership::StartSync(Instant /*now*/, Effects& effects) -> void {
@@ -279,8 +338,10 @@
   if (request.sender.identity.host != self_.host) {
     Merge(now, request.sender, effects);
   }
-  SyncReply reply = table_.Differing(request.digests, next_bucket_,
-                                     settings_.records_per_sync);
+  SyncReply reply =
+      table_.Differing(request.digests, next_bucket_, TakeSyncRecords(now));
+  sync_records_ =
+      std::max(0.0, sync_records_ - static_cast<double>(reply.records.size()));
   next_bucket_ = random_.Below(kMemberBuckets);
   Send(from.host, from.address, std::move(reply), effects);
 }
@@ -294,9 +355,19 @@
     learned = learned || table_.IsNewer(record);
     Merge(now, record, effects);
   }
+  // Tables are compared often while they differ: after a start, and when cuts
+  // heal, more changes than probes can carry.
+  sync_pause_ = learned ? settings_.probe_period
+                        : std::min(2 * sync_pause_, settings_.sync_period);
+  next_sync_ = std::min(next_sync_, now + sync_pause_);
   if (reply.more && learned) {
-    Send(from.host, from.address, SyncRequest{OwnRecord(), table_.digests()},
-         effects);
+    RebuildLive();
+    if (reply.records.size() >= settings_.records_per_sync) {
+      Send(from.host, from.address, SyncRequest{OwnRecord(), table_.digests()},
+           effects);
+    } else {
+      StartSync(now, effects);
+    }
   } else {
     joined_ = true;
   }
--- a/src/libzinniastep/membership/membership.h
+++ b/src/libzinniastep/membership/membership.h
@@ -40,6 +40,9 @@
   std::uint32_t records_per_message = 6;
   // Records that one SyncReply holds, up to the end of a bucket.
   std::uint32_t records_per_sync = 64;
+  // Records that one host sends in a second, after some that it saved up in as
+  // long: about two fifths of a link of 20 Mbit/s.
+  double sync_records_per_second = 6000.0;
   // Numeric "address:port" of hosts to join through.
   std::vector<std::string> seeds;
 };
@@ -109,6 +112,8 @@
   auto ExpireSuspects(Instant now, Effects& effects) -> void;
   auto ContactStrangers(Effects& effects) -> void;
   auto StartSync(Instant now, Effects& effects) -> void;
+  // Returns how many records may go into a reply now.
+  auto TakeSyncRecords(Instant now) -> std::size_t;
   auto NoticePause(Instant now) -> void;
 
   auto Handle(Instant now,
@@ -160,7 +165,10 @@
   std::uint64_t sequence_ = 0;
   std::vector<ListedHost> listed_;
   std::set<HostId> listed_leaving_;
-  std::size_t next_stranger_ = 0;
+  // Time between two comparisons of tables.
+  Duration sync_pause_{0};
+  double sync_records_ = 0.0;
+  Instant sync_records_at_;
   std::size_t next_bucket_ = 0;
   bool started_ = false;
   bool joined_ = false;
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -144,23 +144,31 @@
 }
 
 TEST(FleetTest, EachAskIsDecidedOnceAlthoughMessagesAreLostAndDoubled) {
-  FakeFleet fleet(FleetShape{});
-  fleet.Run(kStartUp);
-  fleet.lose_one_in = 5;
-  fleet.double_one_in = 5;
-  AskEverywhere(fleet, seconds(20), milliseconds(300));
-  fleet.lose_one_in = 0;
-  fleet.Run(seconds(60));
-  std::uint64_t decisions = 0;
-  for (auto& [id, host] : fleet.hosts) {
-    decisions += host.decisions;
-    EXPECT_EQ(host.credits->desk().open_asks(), 0U);
-    EXPECT_EQ(host.credits->desk().open_returns(), 0U);
-    EXPECT_EQ(host.credits->steward().open_credits(), 0U);
+  constexpr std::uint64_t kSeeds = 10;
+  std::uint64_t served = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FleetShape shape;
+    shape.seed = seed;
+    FakeFleet fleet(shape);
+    fleet.Run(kStartUp);
+    fleet.lose_one_in = 5;
+    fleet.double_one_in = 5;
+    AskEverywhere(fleet, seconds(20), milliseconds(300));
+    fleet.lose_one_in = 0;
+    fleet.Run(seconds(60));
+    std::uint64_t decisions = 0;
+    for (auto& [id, host] : fleet.hosts) {
+      decisions += host.decisions;
+      EXPECT_EQ(host.credits->desk().open_asks(), 0U) << seed;
+      EXPECT_EQ(host.credits->desk().open_returns(), 0U) << seed;
+      EXPECT_EQ(host.credits->steward().open_credits(), 0U) << seed;
+    }
+    EXPECT_EQ(decisions, 9U * 200U) << seed;
+    EXPECT_EQ(fleet.overloads, 0U) << seed;
+    served += TotalServed(fleet);
   }
-  EXPECT_EQ(decisions, 9U * 200U);
-  EXPECT_EQ(fleet.overloads, 0U);
-  EXPECT_GT(TotalServed(fleet), 300U);
+  // How many are served depends on which messages are lost.
+  EXPECT_GT(served, kSeeds * 300U);
 }
 
 TEST(FleetTest, WarmServersAreFilledFurtherThanColdOnes) {
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -12,17 +12,29 @@
 constexpr Duration kStep = std::chrono::milliseconds(10);
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kLinkDelay = std::chrono::milliseconds(5);
+// Longer messages go over connections, which lose nothing.
+constexpr std::size_t kDatagram = 1400;
 
 auto Address(std::size_t host) -> std::string {
   return "127.0.0.1:" + std::to_string(1000 + host);
 }
 
-auto Settings(std::size_t host) -> GatewaySettings {
+auto DomainName(std::size_t domain) -> FailureDomainId {
+  return FailureDomainId(domain == 0 ? "north" : "d" + std::to_string(domain));
+}
+
+auto RegionName(std::size_t domain) -> RegionId {
+  return RegionId(domain % 2 == 0 ? "here" : "there");
+}
+
+auto Settings(std::size_t host, std::size_t domains) -> GatewaySettings {
   GatewaySettings settings;
   settings.host = HostId("h" + std::to_string(host));
-  settings.domain = FailureDomainId("north");
-  settings.region = RegionId("here");
-  settings.regions = {{FailureDomainId("north"), RegionId("here")}};
+  settings.domain = DomainName(host % domains);
+  settings.region = RegionName(host % domains);
+  for (std::size_t domain = 0; domain < domains; ++domain) {
+    settings.regions.emplace_back(DomainName(domain), RegionName(domain));
+  }
   settings.peer_address = Address(host);
   settings.caller_address = "127.0.0.1:" + std::to_string(5000 + host);
   settings.seeds = {Address(0), Address(1)};
@@ -52,7 +64,10 @@
     BackendEntry entry = Backend(record.name);
     entry.sequence = record.revision;
     entry.draining = record.content == "draining";
-    entry.version = entry.draining ? "v1" : record.content;
+    // Blanks make an entry as long as a real one.
+    entry.version = entry.draining
+                        ? "v1"
+                        : record.content.substr(0, record.content.find(' '));
     return entry;
   };
   decoders.rollout =
@@ -74,8 +89,17 @@
 
 }  // namespace
 
-GatewayFleet::GatewayFleet(std::size_t hosts) : now_(At(0)), hosts_(hosts) {
-  for (std::size_t host = 0; host < hosts; ++host) {
+GatewayFleet::GatewayFleet(std::size_t hosts)
+    : GatewayFleet(FleetLayout{.hosts = hosts}) {}
+
+GatewayFleet::GatewayFleet(const FleetLayout& layout)
+    : layout_(layout),
+      codec_({"key"}),
+      random_(1),
+      now_(At(0)),
+      hosts_(layout.hosts) {
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    by_address_[Address(host)] = host;
     Start(host);
   }
 }
@@ -83,7 +107,7 @@
 auto GatewayFleet::Start(std::size_t host) -> void {
   Host& started = hosts_[host];
   started.incarnation += 1;
-  const GatewaySettings settings = Settings(host);
+  const GatewaySettings settings = Settings(host, layout_.domains);
   const Incarnation incarnation = started.incarnation * 100 + host + 1;
   started.core = std::make_unique<GatewayCore>(
       HostIdentity{settings.host, incarnation, settings.peer_address,
@@ -108,6 +132,45 @@
   hosts_[host].cut = cut;
 }
 
+auto GatewayFleet::SetBridgeCut(std::size_t domain, std::size_t other, bool cut)
+    -> void {
+  const auto pair = std::minmax(domain, other);
+  if (cut) {
+    bridge_cuts_.insert(pair);
+  } else {
+    bridge_cuts_.erase(pair);
+  }
+}
+
+auto GatewayFleet::SetFrozen(std::size_t host, bool frozen) -> void {
+  hosts_[host].frozen = frozen;
+}
+
+auto GatewayFleet::IsCut(std::size_t from, std::size_t to) const -> bool {
+  return hosts_[from].cut || hosts_[to].cut ||
+         bridge_cuts_.contains(std::minmax(DomainOf(from), DomainOf(to)));
+}
+
+auto GatewayFleet::Arrival(std::size_t from, std::size_t to, double bytes)
+    -> Instant {
+  const auto send = [this, bytes](Instant& free, Instant ready, double rate) {
+    free = std::max(free, ready);
+    if (rate > 0.0) {
+      free += std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(bytes / rate));
+    }
+    return free;
+  };
+  Instant arrival = send(hosts_[from].link_free, now_, layout_.host_link);
+  const std::size_t region = DomainOf(from) % 2;
+  if (region != DomainOf(to) % 2) {
+    region_bytes_ += bytes;
+    arrival = send(region_link_free_.at(region), arrival, layout_.region_link);
+  }
+  peer_bytes_ += bytes;
+  return arrival + kLinkDelay;
+}
+
 auto GatewayFleet::View(std::size_t host) const -> const TrafficView& {
   return *hosts_[host].view;
 }
@@ -133,7 +196,7 @@
     }
     if ((now_ - At(0)) % kTick == Duration(0)) {
       for (std::size_t host = 0; host < hosts_.size(); ++host) {
-        if (hosts_[host].core != nullptr) {
+        if (hosts_[host].core != nullptr && !hosts_[host].frozen) {
           Feed(host, hosts_[host].core->OnTime(now_));
         }
       }
@@ -183,6 +246,10 @@
                           RecordReadResult result) -> void {
   later_.push_back([this, host, kind, result = std::move(result),
                     incarnation = hosts_[host].incarnation] {
+    if (hosts_[host].frozen) {
+      Answer(host, kind, result);
+      return;
+    }
     if (hosts_[host].core != nullptr &&
         hosts_[host].incarnation == incarnation) {
       Feed(host, hosts_[host].core->OnRead(now_, kind, result));
@@ -192,6 +259,7 @@
 
 auto GatewayFleet::Do(std::size_t host, const ListRecords& action) -> void {
   ++calls_;
+  ++hosts_[host].calls;
   if (hosts_[host].fault == StoreFault::kRefusing) {
     Answer(host, action.kind, ReadFailed{true});
     return;
@@ -214,6 +282,7 @@
 
 auto GatewayFleet::Do(std::size_t host, const WatchRecords& action) -> void {
   ++calls_;
+  ++hosts_[host].calls;
   watches_.push_back(
       {host, hosts_[host].incarnation, action, now_ + action.wait, false});
 }
@@ -253,6 +322,7 @@
 auto GatewayFleet::Do(std::size_t host, const RolloutStatusWrite& action)
     -> void {
   ++calls_;
+  ++hosts_[host].calls;
   WriteOutcome outcome = WriteOutcome::kRefused;
   if (hosts_[host].fault == StoreFault::kNone) {
     outcome = WriteOutcome::kDone;
@@ -284,15 +354,24 @@
 }
 
 auto GatewayFleet::Do(std::size_t host, const SendToPeer& action) -> void {
-  for (std::size_t to = 0; to < hosts_.size(); ++to) {
-    if (Address(to) == action.address && !hosts_[host].cut && !hosts_[to].cut) {
-      const HostIdentity& self = hosts_[host].core->self();
-      letters_.push_back({now_ + kLinkDelay,
-                          to,
-                          {self.host, self.incarnation, self.peer_address},
-                          action.message});
-    }
+  const auto found = by_address_.find(action.address);
+  if (found == by_address_.end() || IsCut(host, found->second)) {
+    return;
+  }
+  const HostIdentity& self = hosts_[host].core->self();
+  const std::size_t bytes = codec_
+                                .Encode({self.host, self.incarnation,
+                                         self.peer_address, action.message})
+                                .size();
+  const bool is_datagram = bytes <= kDatagram;
+  if (is_datagram && layout_.lose_one_in > 0 &&
+      random_.Below(layout_.lose_one_in) == 0) {
+    return;
   }
+  letters_.push_back({Arrival(host, found->second, static_cast<double>(bytes)),
+                      found->second,
+                      {self.host, self.incarnation, self.peer_address},
+                      action.message});
 }
 
 auto GatewayFleet::Do(std::size_t /*host*/, const LogEvent& /*action*/)
@@ -301,7 +380,7 @@
 auto GatewayFleet::Deliver() -> void {
   std::vector<Letter> later;
   for (Letter& letter : std::exchange(letters_, {})) {
-    if (letter.due > now_) {
+    if (letter.due > now_ || hosts_[letter.to].frozen) {
       later.push_back(std::move(letter));
     } else if (hosts_[letter.to].core != nullptr && !hosts_[letter.to].cut) {
       Feed(letter.to, hosts_[letter.to].core->OnPeerMessage(now_, letter.from,
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SUPPORT_GATEWAY_FLEET_H_
 #define TESTS_SUPPORT_GATEWAY_FLEET_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -8,17 +9,34 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "libzinniastep/base/random.h"
 #include "libzinniastep/gateway/gateway_core.h"
+#include "libzinniastep/wire/codec.h"
 
 namespace zinniastep::testing {
 
+// Where a fleet's hosts are, and what their links carry.
+struct FleetLayout {
+  std::size_t hosts = 0;
+  // Failure domains, in turn of two regions when there is more than one.
+  std::size_t domains = 1;
+  // Bytes a second that a host can send, and that all hosts of a region
+  // together can send to the other one; zero means any number.
+  double host_link = 0.0;
+  double region_link = 0.0;
+  // One short message in so many is lost; zero means none.
+  std::uint64_t lose_one_in = 0;
+};
+
 // Gateway hosts in virtual time, with a store and links that a test breaks.
 class GatewayFleet {
  public:
   explicit GatewayFleet(std::size_t hosts);
+  explicit GatewayFleet(const FleetLayout& layout);
 
   // Lets time pass in steps of ten milliseconds.
   auto Run(Duration time) -> void;
@@ -34,6 +52,10 @@
   auto SetStoreFault(std::size_t host, StoreFault fault) -> void;
   // Cuts all messages from and to a host.
   auto SetCut(std::size_t host, bool cut) -> void;
+  // Cuts all messages between two failure domains.
+  auto SetBridgeCut(std::size_t domain, std::size_t other, bool cut) -> void;
+  // Stops a host's process for a while. What it is sent meanwhile waits.
+  auto SetFrozen(std::size_t host, bool frozen) -> void;
   // Ends a host and starts it anew at once, with nothing.
   auto Restart(std::size_t host) -> void;
   auto Stop(std::size_t host) -> void;
@@ -45,6 +67,15 @@
   [[nodiscard]] auto now() const -> Instant { return now_; }
   // Calls that all hosts made to the store.
   [[nodiscard]] auto store_calls() const -> std::size_t { return calls_; }
+  [[nodiscard]] auto store_calls_of(std::size_t host) const -> std::size_t {
+    return hosts_[host].calls;
+  }
+  // Bytes of messages between hosts, and those that crossed regions.
+  [[nodiscard]] auto peer_bytes() const -> double { return peer_bytes_; }
+  [[nodiscard]] auto region_bytes() const -> double { return region_bytes_; }
+  [[nodiscard]] auto DomainOf(std::size_t host) const -> std::size_t {
+    return host % layout_.domains;
+  }
   // States written for a roll-out, in order.
   [[nodiscard]] auto states(const std::string& rollout) const
       -> std::vector<RolloutState>;
@@ -76,7 +107,11 @@
     std::shared_ptr<const TrafficView> view;
     StoreFault fault = StoreFault::kNone;
     bool cut = false;
+    bool frozen = false;
     std::uint64_t incarnation = 0;
+    std::size_t calls = 0;
+    // When its link has sent what it was given.
+    Instant link_free;
   };
 
   auto Start(std::size_t host) -> void;
@@ -96,6 +131,18 @@
   auto Do(std::size_t host, const SendToPeer& action) -> void;
   auto Do(std::size_t host, const LogEvent& action) -> void;
 
+  [[nodiscard]] auto IsCut(std::size_t from, std::size_t to) const -> bool;
+  // When a message of that many bytes is at its receiver.
+  auto Arrival(std::size_t from, std::size_t to, double bytes) -> Instant;
+
+  FleetLayout layout_;
+  Codec codec_;
+  Random random_;
+  std::map<std::string, std::size_t> by_address_;
+  std::set<std::pair<std::size_t, std::size_t>> bridge_cuts_;
+  std::array<Instant, 2> region_link_free_{};
+  double peer_bytes_ = 0.0;
+  double region_bytes_ = 0.0;
   Instant now_;
   std::uint64_t revision_ = 1;
   std::map<RecordKind, std::map<std::string, Stored>> objects_;
