--- a/src/libzinniastep/gateway/view_builder.cc
+++ b/src/libzinniastep/gateway/view_builder.cc
@@ -77,6 +77,7 @@
     chosen.insert(host.host);
   }
   std::vector<FrontAddress> fronts;
+  fronts.reserve(hosts.size());
   for (const HostIdentity& host : hosts) {
     fronts.push_back({host.caller_address, host.domain, host.region,
                       chosen.contains(host.host)});
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -153,7 +153,7 @@
 
 auto GatewayFleet::Arrival(std::size_t from, std::size_t to, double bytes)
     -> Instant {
-  const auto send = [this, bytes](Instant& free, Instant ready, double rate) {
+  const auto send = [bytes](Instant& free, Instant ready, double rate) {
     free = std::max(free, ready);
     if (rate > 0.0) {
       free += std::chrono::duration_cast<Duration>(
