--- a/scripts/play-sites.sh
+++ b/scripts/play-sites.sh
@@ -13,8 +13,11 @@
 what="${3:-all}"
 jobs="${4:-3}"
 
-# Site file and days to hunt: 40, or 8 where there are 60 machines or more.
+# Site file and days to hunt: 40, or 8 where there are 60 machines or more. The
+# first two, the oldest, go when a score of the last one passes its gate.
 plays=(
+  "sites/coopline 40"
+  "sites/pssc-zinnia 40"
   "further/giaybay-fleet 40"
   "grown/coopline-grown 8"
   "grown/pssc-zinnia-grown 8"
