Use a server that broke an answer when no other one is free

With a domain taken out two servers of the booking application were left, both broke answers now and then, and 224 requests were refused for want of a server, though both had free places.

Ruled out: cold limits (no entry of that service was cold then) and draining.

Change: servers whose last send broke are a last resort instead of left out. Servers that were silent, full, elsewhere or unreachable are left alone as before.

--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -120,11 +120,15 @@
       std::ranges::find(need.tried, backend.entry.id) != need.tried.end()) {
     return false;
   }
-  if (!AllowedBySplit(backend, need, now, target_is_out)) {
-    return false;
-  }
-  const auto knowledge = knowledge_.find(backend.entry.id);
-  return knowledge == knowledge_.end() || knowledge->second.avoid_until <= now;
+  return AllowedBySplit(backend, need, now, target_is_out);
+}
+
+auto ServerChooser::IsAvoided(Instant now,
+                              const BackendServerId& server,
+                              bool last_resort) const -> bool {
+  const auto knowledge = knowledge_.find(server);
+  return knowledge != knowledge_.end() && knowledge->second.avoid_until > now &&
+         !(last_resort && knowledge->second.broke_answer);
 }
 
 auto ServerChooser::Load(Instant now, const BackendServerId& id) const
@@ -212,12 +216,15 @@
   return true;
 }
 
-auto ServerChooser::Candidates(Instant now, const ServerNeed& need) const
+auto ServerChooser::Candidates(Instant now,
+                               const ServerNeed& need,
+                               bool last_resort) const
     -> std::vector<const UsableBackend*> {
   std::vector<const UsableBackend*> candidates;
   for (const bool target_is_out : {false, true}) {
     for (const UsableBackend& backend : view_->backends) {
-      if (MayServe(now, backend, need, target_is_out)) {
+      if (MayServe(now, backend, need, target_is_out) &&
+          !IsAvoided(now, backend.entry.id, last_resort)) {
         candidates.push_back(&backend);
       }
     }
@@ -234,7 +241,21 @@
   if (view_ == nullptr) {
     return nullptr;
   }
-  const std::vector<const UsableBackend*> candidates = Candidates(now, need);
+  for (const bool last_resort : {false, true}) {
+    const UsableBackend* backend =
+        ChooseFrom(now, need, Candidates(now, need, last_resort));
+    if (backend != nullptr) {
+      return backend;
+    }
+  }
+  return nullptr;
+}
+
+auto ServerChooser::ChooseFrom(
+    Instant now,
+    const ServerNeed& need,
+    const std::vector<const UsableBackend*>& candidates)
+    -> const UsableBackend* {
   const BackendServerId preferred = Preferred(candidates, need);
   std::vector<std::pair<double, const UsableBackend*>> ranked;
   ranked.reserve(candidates.size());
@@ -301,6 +322,7 @@
       (1U << std::min(knowledge.failures_in_row, kMostAvoidanceDoublings));
   knowledge.failures_in_row += 1;
   knowledge.avoid_until = now + avoidance;
+  knowledge.broke_answer = outcome == SendOutcome::kBroken;
 }
 
 auto ServerChooser::OnLoad(Instant now,
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -107,6 +107,9 @@
     double failures = 0.0;
     std::uint32_t failures_in_row = 0;
     Instant avoid_until;
+    // It was reached and broke its answer, so that it may be used before then
+    // when no other one can be had.
+    bool broke_answer = false;
     Instant last_progress;
     // Cold limit: what may still go in now, and when that was worked out.
     // A new incarnation begins with none: requests to the one before may have
@@ -128,6 +131,11 @@
                               const UsableBackend& backend,
                               const ServerNeed& need,
                               bool target_is_out) const -> bool;
+  // Whether the server is left alone now. `last_resort` is whether one that was
+  // reached counts as well.
+  [[nodiscard]] auto IsAvoided(Instant now,
+                               const BackendServerId& server,
+                               bool last_resort) const -> bool;
   // While a roll-out lasts, a session belongs to the target or to the versions
   // before it. When no server of the target can be had, `target_is_out` lets
   // its sessions use the versions before.
@@ -135,8 +143,16 @@
                                     const ServerNeed& need,
                                     Instant now,
                                     bool target_is_out) const -> bool;
-  [[nodiscard]] auto Candidates(Instant now, const ServerNeed& need) const
+  [[nodiscard]] auto Candidates(Instant now,
+                                const ServerNeed& need,
+                                bool last_resort) const
       -> std::vector<const UsableBackend*>;
+  // Returns the cheapest of the candidates that has a place, and takes it.
+  [[nodiscard]] auto ChooseFrom(
+      Instant now,
+      const ServerNeed& need,
+      const std::vector<const UsableBackend*>& candidates)
+      -> const UsableBackend*;
   [[nodiscard]] auto Load(Instant now, const BackendServerId& id) const
       -> double;
   [[nodiscard]] auto Cost(Instant now,
--- a/tests/gateway/server_chooser_test.cc
+++ b/tests/gateway/server_chooser_test.cc
@@ -70,6 +70,50 @@
   EXPECT_NE(IdOf(chooser.Choose(At(0), need)), home);
 }
 
+// Of the only two servers one after the other ran a request and broke its
+// answer. Both take requests, which must not be refused with their places free.
+TEST(ServerChooser, AServerThatBrokeAnAnswerIsUsedWhenNoOtherIsFree) {
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({Backend("a"), Backend("b")}));
+  chooser.OnOutcome(At(0), BackendServerId("a"), SendOutcome::kBroken);
+  EXPECT_EQ(IdOf(chooser.Choose(At(1), Need())), "b");
+  chooser.OnOutcome(At(2), BackendServerId("b"), SendOutcome::kBroken);
+  EXPECT_NE(chooser.Choose(At(3), Need()), nullptr);
+}
+
+// What says nothing, is full or cannot be reached is left alone for a while.
+TEST(ServerChooser, AServerThatCannotTakeRequestsIsLeftAlone) {
+  for (const SendOutcome outcome :
+       {SendOutcome::kNotSent, SendOutcome::kDeclined, SendOutcome::kSilent,
+        SendOutcome::kMisdirected}) {
+    ServerChooser chooser = Chooser();
+    chooser.SetView(At(0), View({Backend("a")}));
+    chooser.OnOutcome(At(0), BackendServerId("a"), outcome);
+    EXPECT_EQ(chooser.Choose(At(1), Need()), nullptr) << ToString(outcome);
+    EXPECT_NE(chooser.Choose(At(10'000), Need()), nullptr) << ToString(outcome);
+  }
+}
+
+// Twenty requests a second before two servers that break three answers in ten,
+// as servers do whose answers are lost: every caller gets a place.
+TEST(ServerChooser, LostAnswersLeaveNoCallerWithoutAServer) {
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({Backend("a"), Backend("b")}));
+  int refused = 0;
+  for (int request = 0; request < 200; ++request) {
+    const Instant now = At(request * 50);
+    const UsableBackend* chosen = chooser.Choose(now, Need());
+    if (chosen == nullptr) {
+      ++refused;
+      continue;
+    }
+    chooser.OnOutcome(
+        now, chosen->entry.id,
+        request % 10 < 3 ? SendOutcome::kBroken : SendOutcome::kAnswered);
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 TEST(ServerChooser, NothingGoesToADomainThatIsTakenOutOrAnotherRegion) {
   ServerChooser chooser = Chooser();
   auto view = View({Backend("a"), Backend("b", "south"), Backend("c", "far")});
