--- a/tests/gateway/server_chooser_test.cc
+++ b/tests/gateway/server_chooser_test.cc
@@ -101,7 +101,7 @@
   chooser.SetView(At(0), View({Backend("a"), Backend("b")}));
   int refused = 0;
   for (int request = 0; request < 200; ++request) {
-    const Instant now = At(request * 50);
+    const Instant now = At(std::int64_t{50} * request);
     const UsableBackend* chosen = chooser.Choose(now, Need());
     if (chosen == nullptr) {
       ++refused;
