Log why a request is not sent to another server

Cause: `send_failed ... next=give_up` looked the same whether attempts, budget or time had run out, or the request could not be repeated, and the end of a wait for a server left only `request_over`.

Change: RetryObstacle() names what keeps a request from another server, and DecideNext() uses it; `send_failed` has `reason` and `silent_ms`, and `server_wait_over` says why a request that may have run found no server. No decision changes.

--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -68,18 +68,49 @@
   return "unknown";
 }
 
+auto ToString(GiveUpReason reason) -> std::string_view {
+  switch (reason) {
+    case GiveUpReason::kDeadline:
+      return "deadline";
+    case GiveUpReason::kNotRepeatable:
+      return "not_repeatable";
+    case GiveUpReason::kAttemptsUsed:
+      return "attempts_used";
+    case GiveUpReason::kUndelivered:
+      return "undelivered";
+    case GiveUpReason::kOverBudget:
+      return "over_budget";
+  }
+  return "unknown";
+}
+
+auto RetryObstacle(Instant now,
+                   const ForwardProgress& progress,
+                   bool may_repeat) -> std::optional<GiveUpReason> {
+  if (now + kMinTimeForRetry >= progress.deadline) {
+    return GiveUpReason::kDeadline;
+  }
+  if (!MayRunAgain(progress)) {
+    return GiveUpReason::kNotRepeatable;
+  }
+  if (progress.servers_used >= progress.most_servers) {
+    return GiveUpReason::kAttemptsUsed;
+  }
+  if (progress.undelivered_sends >= kMaxUndeliveredSends) {
+    return GiveUpReason::kUndelivered;
+  }
+  // While no server was reached, the next send is not a repeat.
+  if (progress.servers_used > 0 && !may_repeat) {
+    return GiveUpReason::kOverBudget;
+  }
+  return std::nullopt;
+}
+
 auto DecideNext(Instant now,
                 const ForwardProgress& progress,
                 SendOutcome outcome,
                 bool may_repeat) -> NextStep {
-  if (now + kMinTimeForRetry >= progress.deadline || !MayRunAgain(progress) ||
-      progress.servers_used >= progress.most_servers ||
-      progress.undelivered_sends >= kMaxUndeliveredSends) {
-    return GiveUp(now, progress, outcome);
-  }
-  // While no server was reached, the next send is not a repeat.
-  const bool is_repeat = progress.servers_used > 0;
-  if (is_repeat && !may_repeat) {
+  if (RetryObstacle(now, progress, may_repeat).has_value()) {
     return GiveUp(now, progress, outcome);
   }
   return TryAnother{};
--- a/src/libzinniastep/gateway/forward_decision.h
+++ b/src/libzinniastep/gateway/forward_decision.h
@@ -2,6 +2,7 @@
 #define LIBZINNIASTEP_GATEWAY_FORWARD_DECISION_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -74,6 +75,27 @@
 // With less time left, another server cannot answer before the deadline.
 inline constexpr Duration kMinTimeForRetry = std::chrono::milliseconds(20);
 
+// Why a request is not sent to another server.
+enum class GiveUpReason : std::uint8_t {
+  // Too little time is left.
+  kDeadline,
+  // The repeat rule or the part of the answer that the caller has forbids it.
+  kNotRepeatable,
+  kAttemptsUsed,
+  // Too many sends reached no server.
+  kUndelivered,
+  kOverBudget,
+};
+
+[[nodiscard]] auto ToString(GiveUpReason reason) -> std::string_view;
+
+// Returns what keeps the request from being sent to another server, or nothing.
+// `progress` and `may_repeat` are as for DecideNext().
+[[nodiscard]] auto RetryObstacle(Instant now,
+                                 const ForwardProgress& progress,
+                                 bool may_repeat)
+    -> std::optional<GiveUpReason>;
+
 // Returns the next step after a send that did not return a complete answer.
 // `progress` already counts that send. `may_repeat` is whether the repeat
 // budget allows the request to arrive at one more server.
--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -45,6 +45,18 @@
 
 }  // namespace
 
+auto ToString(NoServerReason reason) -> std::string_view {
+  switch (reason) {
+    case NoServerReason::kNoEligibleServer:
+      return "no_eligible_server";
+    case NoServerReason::kColdLimit:
+      return "cold_limit";
+    case NoServerReason::kFull:
+      return "full";
+  }
+  return "unknown";
+}
+
 ServerChooser::ServerChooser(HostId self,
                              FailureDomainId domain,
                              RegionId region)
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libzinniastep/base/ids.h"
@@ -47,6 +48,8 @@
   kFull,
 };
 
+[[nodiscard]] auto ToString(NoServerReason reason) -> std::string_view;
+
 // Load that a backend server reported.
 struct ServerLoad {
   std::uint32_t running = 0;
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -225,13 +225,18 @@
     return;
   }
   waiting_for_server_ = false;
-  if (answer_begun_) {
-    TakeStep(AbortAnswer{});
-  } else if (progress_.may_have_run) {
-    TakeStep(ReportUnknown{});
-  } else {
+  if (!answer_begun_ && !progress_.may_have_run) {
     Refuse("no_server");
+    return;
   }
+  engine_.Log(
+      {"server_wait_over",
+       {{"request", attempt_id_},
+        {"service", service_.text()},
+        {"cause", std::string(ToString(engine_.chooser().reason()))},
+        {"waited_ms", std::to_string(Milliseconds(now - no_server_since_))},
+        {"events", std::to_string(events_passed_)}}});
+  TakeStep(answer_begun_ ? NextStep(AbortAnswer{}) : NextStep(ReportUnknown{}));
 }
 
 auto Forwarder::RequestText(const UsableBackend& backend) -> std::string {
@@ -571,19 +576,24 @@
   arrived_ = arrived_ || outcome != SendOutcome::kNotSent;
   const bool may_repeat =
       progress_.servers_used == 0 || engine_.MayRepeat(service_);
+  const auto obstacle = RetryObstacle(now, progress_, may_repeat);
   const NextStep step = DecideNext(now, progress_, outcome, may_repeat);
   const bool tries_another = std::holds_alternative<TryAnother>(step);
   if (tries_another && arrived_) {
     engine_.BudgetFor(service_).OnRepeat(now);
   }
-  engine_.Log({"send_failed",
-               {{"request", attempt_id_},
-                {"server", server_->id.text()},
-                {"outcome", std::string(ToString(outcome))},
-                {"status", std::to_string(head_at_ ? head_.result_int() : 0)},
-                {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
-                {"events", std::to_string(events_passed_)},
-                {"next", tries_another ? "another" : "give_up"}}});
+  engine_.Log(
+      {"send_failed",
+       {{"request", attempt_id_},
+        {"server", server_->id.text()},
+        {"outcome", std::string(ToString(outcome))},
+        {"status", std::to_string(head_at_ ? head_.result_int() : 0)},
+        {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
+        {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
+        {"events", std::to_string(events_passed_)},
+        {"next", tries_another ? "another" : "give_up"},
+        {"reason", std::string(obstacle.has_value() ? ToString(*obstacle)
+                                                    : std::string_view())}}});
   FinishAttempt(outcome);
   TakeStep(step);
 }
