Keep listening to a silent server until another one can take the request

What callers saw: a stream, or an answer that had not begun, ended without its rest although its server was sound: the stream was closed midway, or the request got 502.

Cause: an attempt was ended by a clock of the host before a replacement was known. Three variants of the same class: a stream without a server for its next attempt was aborted after an eighth of the target latency, though its deadline was seconds away and a cold server was about to take it; after a move, a refusal by the next server ended the answer though the first server was only silent; an answer of low confidence was dropped for a larger model before a server for that was known.

Change: LeaveServer() moves an overdue attempt only if attempts, time and budget allow it and the chooser returns a server now; otherwise the attempt goes on and is looked at again (`overdue_attempt_kept`, `overdue_attempt_moved` in the log). A server that was left this way may be asked again once the others have failed, on a connection of its own, since answers to both sends carry one id. A begun answer waits for servers that are cold or avoided until its deadline; with no such server it ends as before, as the caller's own retry has more servers to choose from. Escalate() chooses the next server before it drops the answer.

Why it works: the decision to leave and the choice of the next server are one step on one thread, so an attempt is never cancelled without a server that was chosen for the next send.

--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -80,6 +80,8 @@
       return "undelivered";
     case GiveUpReason::kOverBudget:
       return "over_budget";
+    case GiveUpReason::kNoServer:
+      return "no_server";
   }
   return "unknown";
 }
@@ -93,7 +95,8 @@
   if (!MayRunAgain(progress)) {
     return GiveUpReason::kNotRepeatable;
   }
-  if (progress.servers_used >= progress.most_servers) {
+  // Another send to a server that was used already reaches no further server.
+  if (progress.servers_used >= progress.most_servers && !progress.may_return) {
     return GiveUpReason::kAttemptsUsed;
   }
   if (progress.undelivered_sends >= kMaxUndeliveredSends) {
@@ -116,6 +119,25 @@
   return TryAnother{};
 }
 
+auto ToString(Overdue overdue) -> std::string_view {
+  switch (overdue) {
+    case Overdue::kBytes:
+      return "bytes";
+    case Overdue::kEvent:
+      return "event";
+    case Overdue::kAnswer:
+      return "answer";
+  }
+  return "unknown";
+}
+
+auto AfterLeavingServer(const ForwardProgress& progress) -> ForwardProgress {
+  ForwardProgress after = progress;
+  after.servers_used += 1;
+  after.may_have_run = true;
+  return after;
+}
+
 auto MaxServerSilence(const ForwardingRoute& route,
                       bool answer_begun,
                       double prompt_tokens) -> Duration {
--- a/src/libzinniastep/gateway/forward_decision.h
+++ b/src/libzinniastep/gateway/forward_decision.h
@@ -42,6 +42,8 @@
   std::uint32_t servers_used = 0;
   // Sends that ended before a byte was sent, or that were misdirected.
   std::uint32_t undelivered_sends = 0;
+  // A server that was left before it had answered can be asked again.
+  bool may_return = false;
   // A server may have begun to run the request.
   bool may_have_run = false;
   // The caller has received a part of the answer.
@@ -85,6 +87,8 @@
   // Too many sends reached no server.
   kUndelivered,
   kOverBudget,
+  // No other server can be chosen.
+  kNoServer,
 };
 
 [[nodiscard]] auto ToString(GiveUpReason reason) -> std::string_view;
@@ -104,6 +108,23 @@
                               SendOutcome outcome,
                               bool may_repeat) -> NextStep;
 
+// What an attempt without progress is overdue for.
+enum class Overdue : std::uint8_t {
+  // Any byte of a resumable stream.
+  kBytes,
+  // A complete event, although bytes arrive.
+  kEvent,
+  // The beginning of an answer to an idempotent request.
+  kAnswer,
+};
+
+[[nodiscard]] auto ToString(Overdue overdue) -> std::string_view;
+
+// Returns the state of the request if the send under way is given up for
+// another server now.
+[[nodiscard]] auto AfterLeavingServer(const ForwardProgress& progress)
+    -> ForwardProgress;
+
 // Returns how long a server with open requests of this host may send nothing
 // for any of them before a stream is continued at another server. A server that
 // runs many requests is silent for a while before an answer begins, and sending
--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -49,6 +49,8 @@
   switch (reason) {
     case NoServerReason::kNoEligibleServer:
       return "no_eligible_server";
+    case NoServerReason::kAvoided:
+      return "avoided";
     case NoServerReason::kColdLimit:
       return "cold_limit";
     case NoServerReason::kFull:
@@ -131,7 +133,9 @@
       view_->evacuated.contains(backend.entry.domain) ||
       !InRegions(backend, need.regions) ||
       !InRegions(backend, need.account_regions) ||
-      std::ranges::find(need.tried, backend.entry.id) != need.tried.end()) {
+      std::ranges::find(need.tried, backend.entry.id) != need.tried.end() ||
+      (!need.among.empty() &&
+       std::ranges::find(need.among, backend.entry.id) == need.among.end())) {
     return false;
   }
   return AllowedBySplit(backend, need, now, target_unavailable);
@@ -241,7 +245,8 @@
   for (const bool target_unavailable : {false, true}) {
     for (const UsableBackend& backend : view_->backends) {
       if (MayServe(now, backend, need, target_unavailable) &&
-          !IsAvoided(now, backend.entry.id, last_resort)) {
+          (!need.among.empty() ||
+           !IsAvoided(now, backend.entry.id, last_resort))) {
         candidates.push_back(&backend);
       }
     }
@@ -265,6 +270,13 @@
       return backend;
     }
   }
+  if (reason_ == NoServerReason::kNoEligibleServer &&
+      std::ranges::any_of(view_->backends, [&](const UsableBackend& backend) {
+        return MayServe(now, backend, need, false) ||
+               MayServe(now, backend, need, true);
+      })) {
+    reason_ = NoServerReason::kAvoided;
+  }
   return nullptr;
 }
 
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -36,12 +36,17 @@
   bool avoid_target = false;
   // Servers that were tried already.
   std::span<const BackendServerId> tried;
+  // If not empty, only these servers may be chosen, also if sends to them
+  // failed a short time ago.
+  std::span<const BackendServerId> among;
 };
 
 // Why no server was chosen.
 enum class NoServerReason : std::uint8_t {
   // No listed server may serve the request.
   kNoEligibleServer,
+  // Sends to all eligible servers failed a short time ago.
+  kAvoided,
   // All eligible servers have used up their cold-start limit.
   kColdLimit,
   // All eligible servers are full.
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -24,6 +24,8 @@
 // A request that no server may take now waits for this part of its target.
 constexpr int kServerWaitPart = 8;
 constexpr Duration kServerPoll = std::chrono::milliseconds(20);
+// The same for an answer that has begun, after a while without a server.
+constexpr Duration kLongServerPoll = std::chrono::milliseconds(100);
 constexpr Duration kSilencePoll = std::chrono::milliseconds(250);
 // An idempotent request is sent elsewhere when its answer has not begun after
 // this part of the target.
@@ -185,8 +187,7 @@
   }
 }
 
-auto Forwarder::Dispatch() -> void {
-  const Instant now = engine_.Now();
+auto Forwarder::Need() const -> ServerNeed {
   ServerNeed need;
   need.service = service_;
   if (prompt_.shared != 0) {
@@ -203,8 +204,31 @@
   }
   need.avoid_target = server_failed_before_;
   need.tried = tried_;
-  const UsableBackend* backend = engine_.chooser().Choose(now, need);
+  return need;
+}
+
+auto Forwarder::ChooseServer(Instant now) -> const UsableBackend* {
+  const UsableBackend* backend = nullptr;
+  ServerNeed need = Need();
+  if (progress_.servers_used < progress_.most_servers) {
+    backend = engine_.chooser().Choose(now, need);
+  }
+  if (backend != nullptr || left_.empty()) {
+    return backend;
+  }
+  need.tried = {};
+  need.among = left_;
+  backend = engine_.chooser().Choose(now, need);
   if (backend != nullptr) {
+    std::erase(left_, backend->entry.id);
+    progress_.may_return = !left_.empty();
+  }
+  return backend;
+}
+
+auto Forwarder::Dispatch() -> void {
+  const Instant now = engine_.Now();
+  if (const UsableBackend* backend = ChooseServer(now); backend != nullptr) {
     waiting_for_server_ = false;
     Send(*backend);
     return;
@@ -218,9 +242,17 @@
 
 auto Forwarder::WaitForServer() -> void {
   const Instant now = engine_.Now();
-  const Duration most =
-      std::min<Duration>(route_->target_latency / kServerWaitPart, TimeLeft());
-  if (now - no_server_since_ < most) {
+  // A late answer that has begun is worth more to its caller than a broken one.
+  // Without any server to wait for, the caller's own retry has more to choose
+  // from, since this request uses no server twice.
+  const bool may_be_late =
+      answer_begun_ &&
+      engine_.chooser().reason() != NoServerReason::kNoEligibleServer;
+  const Duration longest =
+      may_be_late ? progress_.deadline - no_server_since_
+                  : std::min<Duration>(route_->target_latency / kServerWaitPart,
+                                       TimeLeft());
+  if (now - no_server_since_ < longest) {
     ArmTimer();
     return;
   }
@@ -287,10 +319,13 @@
 }
 
 auto Forwarder::Send(const UsableBackend& backend) -> void {
-  const Reuse reuse =
-      progress_.repeat_rule == RepeatRule::kIdempotent || progress_.resumable
-          ? Reuse::kAllowed
-          : Reuse::kForbidden;
+  // An answer to an earlier send of the request has the same id.
+  const bool is_return =
+      std::ranges::find(asked_, backend.entry.id) != asked_.end();
+  const bool may_reuse =
+      !is_return &&
+      (progress_.resumable || progress_.repeat_rule == RepeatRule::kIdempotent);
+  const Reuse reuse = may_reuse ? Reuse::kAllowed : Reuse::kForbidden;
   connection_ = engine_.pool().Take(backend.entry.address, reuse);
   if (connection_ == nullptr) {
     engine_.Log({"address_malformed",
@@ -304,11 +339,13 @@
   }
   server_ = backend.entry;
   tried_.push_back(server_->id);
+  asked_.push_back(server_->id);
   sent_at_ = engine_.Now();
   last_bytes_ = sent_at_;
   last_event_at_ = sent_at_;
   head_at_.reset();
   not_run_ = misdirected_ = server_failed_ = is_stream_ = false;
+  kept_overdue_ = false;
   body_.clear();
   events_.Reset();
   engine_.chooser().OnBegin(server_->id);
@@ -394,17 +431,27 @@
     engine_.metrics().Count("escalations_over_budget");
     return false;
   }
-  engine_.BudgetFor(service_).OnRepeat(engine_.Now());
+  const std::size_t model = std::exchange(model_, *next);
+  ServerNeed need = Need();
+  need.tried = {};
+  const UsableBackend* backend = engine_.chooser().Choose(now, need);
+  if (backend == nullptr) {
+    model_ = model;
+    engine_.metrics().Count("escalations_without_server");
+    return false;
+  }
+  engine_.BudgetFor(service_).OnRepeat(now);
   engine_.Log({"request_escalated",
                {{"request", attempt_id_},
-                {"model", route_->models[model_]},
+                {"model", route_->models[model]},
                 {"confidence", std::to_string(*confidence)},
-                {"next", route_->models[*next]}}});
+                {"next", route_->models[model_]}}});
+  left_.push_back(server_->id);
+  progress_.may_return = true;
   FinishAttempt(SendOutcome::kAnswered);
   progress_.servers_used += 1;
-  model_ = *next;
   tried_.clear();
-  Dispatch();
+  Send(*backend);
   return true;
 }
 
@@ -672,14 +719,17 @@
   const Instant now = engine_.Now();
   Instant next = progress_.deadline;
   if (waiting_for_server_) {
-    next = std::min(next, now + kServerPoll);
+    const bool is_new_wait =
+        now - no_server_since_ < route_->target_latency / kServerWaitPart;
+    next = std::min(next, now + (is_new_wait ? kServerPoll : kLongServerPoll));
   } else if (server_.has_value() && progress_.resumable) {
     next = std::min(next, now + kSilencePoll);
   } else if (server_.has_value() && !head_at_.has_value() &&
              progress_.repeat_rule == RepeatRule::kIdempotent) {
-    next = std::min(next,
-                    sent_at_ + std::chrono::duration_cast<Duration>(
-                                   route_->target_latency * kSecondSendPart));
+    const Instant second_send =
+        sent_at_ + std::chrono::duration_cast<Duration>(route_->target_latency *
+                                                        kSecondSendPart);
+    next = std::min(next, std::max(second_send, now + kSilencePoll));
   }
   timer_.expires_after(std::max(next - now, Duration(1000)));
   timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
@@ -707,29 +757,75 @@
     Dispatch();
     return;
   }
-  if (server_.has_value()) {
-    const Duration patience =
-        MaxServerSilence(*route_, head_at_.has_value(), prompt_.prompt_tokens);
-    const bool stream_silent =
-        progress_.resumable && now - last_bytes_ >= patience &&
-        engine_.chooser().IsSilent(now, server_->id, patience);
-    // Bytes come now and then, but no event.
-    const bool stream_stalled =
-        progress_.resumable && is_stream_ && last_bytes_ > last_event_at_ &&
-        now - last_event_at_ >= MaxStreamStall(*route_, prompt_.prompt_tokens);
-    const bool answer_late =
-        !progress_.resumable && !head_at_.has_value() &&
+  const auto overdue = OverdueFor(now);
+  if (overdue.has_value() && LeaveServer(now, *overdue)) {
+    return;
+  }
+  ArmTimer();
+}
+
+auto Forwarder::OverdueFor(Instant now) const -> std::optional<Overdue> {
+  if (!server_.has_value()) {
+    return std::nullopt;
+  }
+  if (!progress_.resumable) {
+    const bool is_late =
+        !head_at_.has_value() &&
         progress_.repeat_rule == RepeatRule::kIdempotent &&
         now - sent_at_ >= std::chrono::duration_cast<Duration>(
-                              route_->target_latency * kSecondSendPart) &&
-        progress_.servers_used + 1 < progress_.most_servers;
-    if (stream_silent || stream_stalled || answer_late) {
-      connection_->Cancel();
-      OnAttemptOver(SendOutcome::kSilent);
-      return;
+                              route_->target_latency * kSecondSendPart);
+    return is_late ? std::optional(Overdue::kAnswer) : std::nullopt;
+  }
+  const Duration patience =
+      MaxServerSilence(*route_, head_at_.has_value(), prompt_.prompt_tokens);
+  if (now - last_bytes_ >= patience &&
+      engine_.chooser().IsSilent(now, server_->id, patience)) {
+    return Overdue::kBytes;
+  }
+  if (is_stream_ && last_bytes_ > last_event_at_ &&
+      now - last_event_at_ >= MaxStreamStall(*route_, prompt_.prompt_tokens)) {
+    return Overdue::kEvent;
+  }
+  return std::nullopt;
+}
+
+auto Forwarder::LeaveServer(Instant now, Overdue overdue) -> bool {
+  const ForwardProgress after = AfterLeavingServer(progress_);
+  auto obstacle = RetryObstacle(now, after, engine_.MayRepeat(service_));
+  const UsableBackend* next =
+      obstacle.has_value() ? nullptr : engine_.chooser().Choose(now, Need());
+  if (next == nullptr) {
+    if (!std::exchange(kept_overdue_, true)) {
+      engine_.metrics().Count("overdue_attempts_kept");
+      engine_.Log(
+          {"overdue_attempt_kept",
+           {{"request", attempt_id_},
+            {"server", server_->id.text()},
+            {"overdue", std::string(ToString(overdue))},
+            {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
+            {"reason", std::string(ToString(
+                           obstacle.value_or(GiveUpReason::kNoServer)))}}});
     }
+    return false;
   }
-  ArmTimer();
+  engine_.metrics().Count("overdue_attempts_moved");
+  engine_.Log({"overdue_attempt_moved",
+               {{"request", attempt_id_},
+                {"server", server_->id.text()},
+                {"overdue", std::string(ToString(overdue))},
+                {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
+                {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
+                {"events", std::to_string(events_passed_)},
+                {"next_server", next->entry.id.text()}}});
+  left_.push_back(server_->id);
+  progress_ = after;
+  progress_.may_return = true;
+  arrived_ = true;
+  engine_.BudgetFor(service_).OnRepeat(now);
+  connection_->Cancel();
+  FinishAttempt(SendOutcome::kSilent);
+  Send(*next);
+  return true;
 }
 
 auto Forwarder::CountEvidence(bool failed) -> void {
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -48,6 +48,10 @@
   auto FindPlace() -> unsigned;
   auto SetDeadline() -> void;
   auto ChooseService() -> void;
+  [[nodiscard]] auto Need() const -> ServerNeed;
+  // Returns a server that was not tried or, failing that, one that was left
+  // before it had answered; null without one.
+  auto ChooseServer(Instant now) -> const UsableBackend*;
   auto Dispatch() -> void;
   auto WaitForServer() -> void;
   auto Send(const UsableBackend& backend) -> void;
@@ -65,6 +69,11 @@
   auto Fail(unsigned status, std::string_view reason) -> void;
   auto OnCallerGone() -> void;
   auto OnTimer() -> void;
+  // What the attempt under way is overdue for at `now`, if anything.
+  [[nodiscard]] auto OverdueFor(Instant now) const -> std::optional<Overdue>;
+  // Moves an overdue attempt to another server. Returns false and keeps the
+  // attempt if no other server can take the request now.
+  auto LeaveServer(Instant now, Overdue overdue) -> bool;
   auto ArmTimer() -> void;
   auto Over(std::string_view outcome, unsigned status) -> void;
   auto CountEvidence(bool failed) -> void;
@@ -91,6 +100,10 @@
   Instant no_server_since_;
   bool waiting_for_server_ = false;
   std::vector<BackendServerId> tried_;
+  // All servers that were sent the request, in order.
+  std::vector<BackendServerId> asked_;
+  // Servers that were left before they had answered, and may be sound.
+  std::vector<BackendServerId> left_;
   // A server has seen the request, whatever it did with it.
   bool arrived_ = false;
   // A server failed the request, maybe for its version.
@@ -110,6 +123,8 @@
   bool misdirected_ = false;
   bool server_failed_ = false;
   bool is_stream_ = false;
+  // It is logged that the attempt is overdue and goes on.
+  bool kept_overdue_ = false;
   std::string body_;
 
   // The answer as the caller sees it.
--- a/tests/gateway/forward_decision_test.cc
+++ b/tests/gateway/forward_decision_test.cc
@@ -76,6 +76,30 @@
       At(0), After(SendOutcome::kNotSent), SendOutcome::kNotSent, false)));
 }
 
+TEST(ForwardDecision, AServerThatWasLeftIsAskedAgainAfterTheLastAttempt) {
+  ForwardProgress progress = After(SendOutcome::kDeclined);
+  progress.resumable = true;
+  progress.may_have_run = true;
+  progress.servers_used = progress.most_servers;
+  EXPECT_EQ(RetryObstacle(At(0), progress, true), GiveUpReason::kAttemptsUsed);
+  progress.may_return = true;
+  EXPECT_EQ(RetryObstacle(At(0), progress, true), std::nullopt);
+  EXPECT_EQ(RetryObstacle(At(0), progress, false), GiveUpReason::kOverBudget);
+  EXPECT_EQ(RetryObstacle(At(1000), progress, true), GiveUpReason::kDeadline);
+}
+
+TEST(ForwardDecision, LeavingAServerCountsItAsUsed) {
+  ForwardProgress progress = After(SendOutcome::kNotSent);
+  progress.resumable = true;
+  progress.most_servers = 1;
+  EXPECT_EQ(RetryObstacle(At(0), AfterLeavingServer(progress), true),
+            GiveUpReason::kAttemptsUsed);
+  progress.resumable = false;
+  progress.most_servers = 2;
+  EXPECT_EQ(RetryObstacle(At(0), AfterLeavingServer(progress), true),
+            GiveUpReason::kNotRepeatable);
+}
+
 TEST(ForwardDecision, TwoAnswersAreNeverJoined) {
   for (const SendOutcome outcome : kFailures) {
     ForwardProgress progress = After(outcome);
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -49,14 +49,39 @@
   stall.resumable = true;
   stall.target_latency = std::chrono::milliseconds(400);
   stall.longest_pause = std::chrono::milliseconds(400);
+  ForwardingRoute single = stall;
+  single.name = "/single/";
+  single.path_prefix = "/single/";
+  single.most_servers = 1;
+  ForwardingRoute quick = Route("/quick/");
+  quick.repeat_rule = RepeatRule::kIdempotent;
+  quick.target_latency = std::chrono::milliseconds(400);
   ForwardingService service;
   service.id = ServiceId("pool");
   ForwardingAccount account;
   account.id = ClientAccountId("farm");
   account.keys = {"k"};
   return std::make_shared<const TrafficPolicy>(
-      1, std::vector{once, idem, generate, stall}, std::vector{service},
-      std::vector{account}, CallerLimits());
+      1, std::vector{once, idem, generate, stall, single, quick},
+      std::vector{service}, std::vector{account}, CallerLimits());
+}
+
+auto ViewOf(const ServerAddresses& servers) -> std::shared_ptr<TrafficView> {
+  auto view = std::make_shared<TrafficView>();
+  view->policy = Policy();
+  for (std::size_t index = 0; index < servers.list.size(); ++index) {
+    if (servers.list[index].empty()) {
+      continue;
+    }
+    BackendEntry entry;
+    entry.id = BackendServerId("s" + std::to_string(index));
+    entry.service = ServiceId("pool");
+    entry.address = servers.list[index];
+    entry.domain = FailureDomainId("north");
+    entry.slots = 8;
+    view->backends.push_back({entry, Instant()});
+  }
+  return view;
 }
 
 auto AddressesOf(const std::vector<const ScriptedServer*>& servers)
@@ -70,32 +95,23 @@
 
 }  // namespace
 
-EngineHost::EngineHost(const std::vector<const ScriptedServer*>& servers)
-    : EngineHost(AddressesOf(servers)) {}
+EngineHost::EngineHost(const std::vector<const ScriptedServer*>& servers,
+                       RepeatLimits limits)
+    : EngineHost(AddressesOf(servers), limits) {}
 
-EngineHost::EngineHost(const ServerAddresses& servers)
+EngineHost::EngineHost(const ServerAddresses& servers, RepeatLimits limits)
     : work_(io_.get_executor()) {
   GatewaySettings settings;
   settings.host = HostId("h");
   settings.domain = FailureDomainId("north");
   settings.region = RegionId("here");
-  settings.repeat_share = 1.0;
-  settings.repeat_slack = 50.0;
+  settings.repeat_share = limits.share;
+  settings.repeat_slack = limits.slack;
   settings.repeat_window = std::chrono::seconds(10);
   engine_ = std::make_unique<TrafficEngine>(
-      io_, settings, platform::Headers(), metrics_, [](const LogEvent&) {}, 1);
-  auto view = std::make_shared<TrafficView>();
-  view->policy = Policy();
-  for (std::size_t index = 0; index < servers.list.size(); ++index) {
-    BackendEntry entry;
-    entry.id = BackendServerId("s" + std::to_string(index));
-    entry.service = ServiceId("pool");
-    entry.address = servers.list[index];
-    entry.domain = FailureDomainId("north");
-    entry.slots = 8;
-    view->backends.push_back({entry, Instant()});
-  }
-  engine_->SetView(view);
+      io_, settings, platform::Headers(), metrics_,
+      [this](const LogEvent& event) { log_.push_back(event); }, 1);
+  engine_->SetView(ViewOf(servers));
   auto listener = HttpListener::Start(
       io_, "127.0.0.1:0", [this] { return engine_->Limits(); },
       [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
@@ -176,6 +192,39 @@
   socket.close();
 }
 
+auto EngineHost::ListServers(const ServerAddresses& servers) -> void {
+  asio::post(io_, [this, view = ViewOf(servers)] { engine_->SetView(view); });
+}
+
+auto EngineHost::ChangeView(const std::function<void(TrafficView&)>& change)
+    -> void {
+  std::promise<void> changed;
+  asio::post(io_, [&] {
+    auto view = std::make_shared<TrafficView>(engine_->view());
+    change(*view);
+    engine_->SetView(view);
+    changed.set_value();
+  });
+  changed.get_future().wait();
+}
+
+auto EngineHost::Logged(const std::string& event, const std::string& field)
+    -> std::vector<std::string> {
+  std::promise<std::vector<std::string>> promise;
+  asio::post(io_, [&] {
+    std::vector<std::string> values;
+    for (const LogEvent& logged : log_) {
+      for (const auto& [name, value] : logged.fields) {
+        if (logged.event == event && name == field) {
+          values.push_back(value);
+        }
+      }
+    }
+    promise.set_value(std::move(values));
+  });
+  return promise.get_future().get();
+}
+
 auto EngineHost::CountedAnswers() -> std::uint64_t {
   std::promise<std::uint64_t> answers;
   asio::post(io_, [this, &answers] {
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -34,15 +34,23 @@
   std::vector<std::string> list;
 };
 
+// Bounds on the requests that the host sends once more.
+struct RepeatLimits {
+  double share = 1.0;
+  double slack = 50.0;
+};
+
 // A traffic engine with its listener on loopback, in front of scripted servers.
 // Routes: "/once/" (at most once), "/idem/" (idempotent) and "/gen/"
 // (resumable streams with a cascade of "small" and "large"); "/stall/" has
-// streams whose target and pauses are short.
+// streams whose target and pauses are short, "/single/" the same with one
+// attempt, and "/quick/" idempotent requests with a short target.
 class EngineHost {
  public:
-  explicit EngineHost(const std::vector<const ScriptedServer*>& servers);
+  explicit EngineHost(const std::vector<const ScriptedServer*>& servers,
+                      RepeatLimits limits = {});
   // The same in front of servers at these addresses.
-  explicit EngineHost(const ServerAddresses& servers);
+  explicit EngineHost(const ServerAddresses& servers, RepeatLimits limits = {});
   EngineHost(const EngineHost&) = delete;
   auto operator=(const EngineHost&) -> EngineHost& = delete;
   ~EngineHost();
@@ -61,6 +69,17 @@
   // Answers that the engine has counted as evidence since the last call.
   auto CountedAnswers() -> std::uint64_t;
 
+  // Replaces the view by one whose servers listen at these addresses, as "s0",
+  // "s1" and so on; an empty address leaves its server out.
+  auto ListServers(const ServerAddresses& servers) -> void;
+
+  // Replaces the view by a copy that was changed, on the engine's thread.
+  auto ChangeView(const std::function<void(TrafficView&)>& change) -> void;
+
+  // Values of a field in all log events of that name so far.
+  auto Logged(const std::string& event, const std::string& field)
+      -> std::vector<std::string>;
+
   // A request of an account with the key "k".
   static auto Request(const std::string& path,
                       const std::string& extra_headers = "",
@@ -71,6 +90,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
   Metrics metrics_;
+  std::vector<LogEvent> log_;
   std::unique_ptr<TrafficEngine> engine_;
   std::unique_ptr<HttpListener> listener_;
   std::uint16_t port_ = 0;
--- a/tests/traffic/scripted_server.cc
+++ b/tests/traffic/scripted_server.cc
@@ -104,6 +104,10 @@
           Drip(session);
           return;
         }
+        if (!answer.rest.empty()) {
+          SendLater(session, answer.rest, answer.rest_after);
+          return;
+        }
         if (answer.close) {
           session->socket.close(ignored);
           return;
@@ -127,6 +131,21 @@
       });
 }
 
+auto ScriptedServer::SendLater(const std::shared_ptr<Session>& session,
+                               const std::string& bytes,
+                               std::chrono::milliseconds after) -> void {
+  session->timer.expires_after(after);
+  session->timer.async_wait([this, session, bytes](boost::system::error_code) {
+    boost::system::error_code error;
+    boost::asio::write(session->socket, boost::asio::buffer(bytes), error);
+    if (error) {
+      ++abandoned_;
+      return;
+    }
+    Read(session);
+  });
+}
+
 auto HeaderOf(const std::string& message, const std::string& name)
     -> std::string {
   const std::string start = "\r\n" + name + ": ";
--- a/tests/traffic/scripted_server.h
+++ b/tests/traffic/scripted_server.h
@@ -28,6 +28,10 @@
   // closed; nothing when empty.
   std::string drip = {};
   std::chrono::milliseconds drip_pause{0};
+  // Sent once, this long after the bytes; nothing when empty. The server reads
+  // nothing until then.
+  std::string rest = {};
+  std::chrono::milliseconds rest_after{0};
 };
 
 // A backend server on loopback that answers as the test says, and keeps what
@@ -56,6 +60,9 @@
   auto Accept() -> void;
   auto Read(const std::shared_ptr<Session>& session) -> void;
   auto Drip(const std::shared_ptr<Session>& session) -> void;
+  auto SendLater(const std::shared_ptr<Session>& session,
+                 const std::string& bytes,
+                 std::chrono::milliseconds after) -> void;
 
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
