Keep lint marks when ccache rewrites paths

Cause: with CCACHE_BASEDIR the dependency files name the project's sources relative to the build directory. scripts/lint.sh looked for absolute paths only, so no file that passed was marked, and each run linted all 262 files.

Change: such paths are resolved before they are compared. What is linted does not change.

Evidence: 190 sources of a build folder with such paths are now found in its dependency list; 0 of the project's before (20 marks after 200 linted files, of files that the build had not compiled through ccache).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -25,9 +25,11 @@
 export rules
 
 # One line for each source: its path and the project's files that it reads, as
-# the build recorded them.
+# the build recorded them. With CCACHE_BASEDIR paths are relative to the build
+# directory.
 ninja -C "$build_dir" -t deps | awk -v root="$PWD/" '
   /#deps/ { if (line != "") print line; line = ""; next }
+  { sub(/^[.][.][/]/, root, $1) }
   index($1, root) == 1 { line = line (line == "" ? "" : " ") substr($1, length(root) + 1) }
   END { if (line != "") print line }' >"$inputs"
 
