--- a/tests/traffic/silent_server_test.cc
+++ b/tests/traffic/silent_server_test.cc
@@ -92,7 +92,7 @@
     EXPECT_TRUE(Eventually([&] { return first.requests().size() == 1; }));
     host.ListServers({{first.address(), second.address()}});
   });
-  const CallerAnswer answer = host.Call(EngineHost::Request("/stall/"));
+  CallerAnswer answer = host.Call(EngineHost::Request("/stall/"));
   lister.join();
   return answer;
 }
