Judge a version by the requests that still wait for it

Cause: evidence was counted when the head of an answer arrived. A request that still waits, is given up or whose caller leaves counted nowhere, so the sample was censored on the very quantity that it judges; the first answers are the fast ones, they alone met a stage's minimum, and a share rose by time. The mean of logarithms also drowned: times differ so much on a busy engine (a twentieth of the sound version's answers take twelve times the expected time) that a stream at a third of its pace moved it by less than the bound. Only the beginning of an answer was timed; a slow stream that begins in time was not seen.

Change: AnswerClock counts for each send the delay steps (1 to 64 times the expected time) that it has passed, while it still waits. The pace of a stream, from its first event to its fifth, is counted the same way. RolloutGuard takes the delay that the other versions of the route seldom exceed (a twentieth of their sends) and tests the target's share of longer delays against it, as it does for failures. Sends under way hold a share back; answers, and sends given up at a server that answered others, revert; sends to a server that was not heard of prove nothing, since it may be cut off. A target that is suspect when it should complete is reverted. The full share needs clear evidence, as it leaves no time to revert. The evidence message has three more arrays, so the wire version is 3.

Checks: codec_test's crafted message carries the new wire version; what it checks stays.

--- a/src/libzinniastep/gateway/rollout_coordinator.cc
+++ b/src/libzinniastep/gateway/rollout_coordinator.cc
@@ -18,6 +18,8 @@
 // Peers to which a fault is sent at once, each of which forwards it to some
 // more.
 constexpr std::size_t kFaultFanOut = 16;
+// Delays from this step on are sent as soon as failures.
+constexpr std::size_t kUnusualDelayStep = 2;
 constexpr Duration kMinSharePeriod = std::chrono::milliseconds(400);
 // Messages of evidence that a coordinator receives per second from all hosts
 // together; they take a few hundredths of a small host's processor time.
@@ -55,7 +57,8 @@
                       std::ranges::any_of(rows, [&](const VersionRow& row) {
                         return row.key.service == split.service &&
                                row.key.version == split.target_version &&
-                               row.counts.failures > 0;
+                               (row.counts.failures > 0 ||
+                                row.counts.slower[kUnusualDelayStep] > 0);
                       });
   }
   return Evaluate(now);
--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -8,6 +8,11 @@
 
 namespace {
 
+// Logarithm of the odds of a fault at or below which a route counts as sound:
+// one in fifty, reached after some twelve successful answers and no failure. A
+// fault may affect a single route. Routes on which the other versions have
+// fewer answers than kBusyRouteAnswers are not checked.
+constexpr double kSoundLogOdds = -4.0;
 // Share of the sessions that use the target, and the fraction of the roll-out's
 // duration at which the share begins. The slack after the first half covers the
 // differences in when hosts learned of the order. The first share reveals a
@@ -18,9 +23,12 @@
   double share;
   // Answers of the target that the stage requires.
   std::uint64_t min_answers;
+  // Largest logarithm of the odds that the target is slow, counting sends under
+  // way. The last stage leaves little time to revert a fault that shows late.
+  double max_slow_odds;
 };
 constexpr std::array<Stage, 3> kStages = {
-    {{0.52, 0.1, 0}, {0.62, 0.35, 6}, {0.7, 1.0, 16}}};
+    {{0.52, 0.1, 0, 0.0}, {0.62, 0.35, 6, 0.0}, {0.7, 1.0, 16, -6.0}}};
 // Delay between the decision to raise a share and its effect, since a change
 // reaches all hosts in several hops from peer to peer.
 constexpr Duration kShareChangeDelay = std::chrono::milliseconds(900);
@@ -29,11 +37,6 @@
 // so most of the second half is used to collect evidence. The rest covers hosts
 // that learned of the order later and a slow store.
 constexpr double kCompletionFraction = 0.88;
-// Logarithm of the odds of a fault at or below which a route counts as sound:
-// one in fifty, reached after some twelve successful answers and no failure. A
-// fault may affect a single route. Routes on which the other versions have
-// fewer answers than kBusyRouteAnswers are not checked.
-constexpr double kSoundLogOdds = -4.0;
 constexpr std::uint64_t kBusyRouteAnswers = 40;
 // The test compares a version that fails three in ten requests with one that
 // fails as often as the other versions, but at least at the baseline rate.
@@ -48,6 +51,22 @@
 constexpr double kSlowLogRatio = 0.9;
 constexpr std::uint64_t kMinTimedAnswers = 12;
 
+// Sends of the other versions that are needed to tell which delay is unusual,
+// and the share of them that may be longer than that.
+constexpr std::uint32_t kMinJudgedSends = 20;
+constexpr double kUsualSlowRate = 0.05;
+// Logarithm of the odds of slow answers at or below which a route counts as
+// sound.
+constexpr double kSoundSlowLogOdds = -2.0;
+
+// Logarithm of the odds that events happen at kFaultyRate or at three times the
+// baseline, rather than at the baseline.
+auto LogOdds(double events, double others, double baseline) -> double {
+  const double faulty = std::max(kFaultyRate, baseline * 3.0);
+  return events * std::log(faulty / baseline) +
+         others * std::log((1.0 - faulty) / (1.0 - baseline));
+}
+
 auto FailureLogOdds(const VersionCounts& target, const VersionCounts& others)
     -> double {
   const double baseline =
@@ -55,11 +74,31 @@
                                      : static_cast<double>(others.failures) /
                                            static_cast<double>(others.answers),
                  kMinBaselineRate, kFaultyRate / 2.0);
-  const double faulty = std::max(kFaultyRate, baseline * 3.0);
-  const auto failures = static_cast<double>(target.failures);
-  const auto successes = static_cast<double>(target.answers - target.failures);
-  return failures * std::log(faulty / baseline) +
-         successes * std::log((1.0 - faulty) / (1.0 - baseline));
+  return LogOdds(static_cast<double>(target.failures),
+                 static_cast<double>(target.answers - target.failures),
+                 baseline);
+}
+
+enum class OpenSends : std::uint8_t { kLeftOut, kIncluded };
+
+// Returns the logarithm of the odds that the target exceeds a delay that is
+// unusual for the other versions; nothing if they do not show which one is.
+auto SlowLogOdds(const VersionCounts& target,
+                 const VersionCounts& others,
+                 OpenSends open_sends) -> std::optional<double> {
+  for (std::size_t step = 0; step < kDelaySteps; ++step) {
+    const std::uint32_t judged = others.slower[step] + others.faster[step];
+    if (judged < kMinJudgedSends) {
+      return std::nullopt;
+    }
+    if (others.slower[step] <= kUsualSlowRate * judged) {
+      const std::uint32_t slower =
+          target.slower[step] +
+          (open_sends == OpenSends::kIncluded ? target.waiting[step] : 0);
+      return LogOdds(slower, target.faster[step], kUsualSlowRate);
+    }
+  }
+  return std::nullopt;
 }
 
 auto IsSlow(const VersionCounts& target, const VersionCounts& others) -> bool {
@@ -73,22 +112,63 @@
   return target_mean - others_mean > kSlowLogRatio;
 }
 
-// Returns whether the version is sound on each route on which the other
-// versions of its service have at least kBusyRouteAnswers answers.
-auto IsSoundOnAllRoutes(const VersionEvidence& evidence,
-                        const ServiceId& service,
-                        const std::string& version) -> bool {
-  std::map<std::string, std::pair<VersionCounts, VersionCounts>> by_route;
+// Counts of a version and of the others of its service.
+struct ComparedCounts {
+  VersionCounts target;
+  VersionCounts others;
+};
+
+using ComparedRoutes = std::map<std::string, ComparedCounts>;
+
+auto CompareRoutes(const VersionEvidence& evidence,
+                   const ServiceId& service,
+                   const std::string& version) -> ComparedRoutes {
+  ComparedRoutes routes;
   for (const auto& [key, counts] : evidence) {
     if (key.service == service) {
-      auto& [target_counts, other_counts] = by_route[key.route];
-      (key.version == version ? target_counts : other_counts).Add(counts);
+      ComparedCounts& route = routes[key.route];
+      (key.version == version ? route.target : route.others).Add(counts);
     }
   }
-  return std::ranges::all_of(by_route, [](const auto& item) {
-    const auto& [target_counts, other_counts] = item.second;
-    return other_counts.answers < kBusyRouteAnswers ||
-           FailureLogOdds(target_counts, other_counts) <= kSoundLogOdds;
+  return routes;
+}
+
+auto SumOf(const ComparedRoutes& routes) -> ComparedCounts {
+  ComparedCounts sum;
+  for (const auto& [route, counts] : routes) {
+    sum.target.Add(counts.target);
+    sum.others.Add(counts.others);
+  }
+  return sum;
+}
+
+// Returns the logarithm of the odds that the target is slow to begin its
+// answers, or slow in its streams, whichever is larger, by all routes, each of
+// which has its own usual delay; nothing if no route shows it.
+auto SlowLogOdds(const ComparedRoutes& routes, OpenSends open_sends)
+    -> std::optional<double> {
+  std::optional<double> delay;
+  std::optional<double> pace;
+  for (const auto& [route, counts] : routes) {
+    const auto odds = SlowLogOdds(counts.target, counts.others, open_sends);
+    if (odds.has_value()) {
+      auto& sum = route.ends_with(kPaceSuffix) ? pace : delay;
+      sum = sum.value_or(0.0) + *odds;
+    }
+  }
+  // An empty value is less than any other.
+  return std::max(delay, pace);
+}
+
+// Returns whether the version is sound on each route on which the other
+// versions of its service have at least kBusyRouteAnswers answers.
+auto IsSoundOnAllRoutes(const ComparedRoutes& routes) -> bool {
+  return std::ranges::all_of(routes, [](const auto& item) {
+    const auto& [target, others] = item.second;
+    return others.answers < kBusyRouteAnswers ||
+           (FailureLogOdds(target, others) <= kSoundLogOdds &&
+            SlowLogOdds(target, others, OpenSends::kIncluded)
+                    .value_or(kSoundSlowLogOdds) <= kSoundSlowLogOdds);
   });
 }
 
@@ -98,27 +178,23 @@
                       const ServiceId& service,
                       const std::string& version)
     -> std::optional<std::string> {
-  std::map<std::string, std::pair<VersionCounts, VersionCounts>> by_route;
-  std::pair<VersionCounts, VersionCounts> all;
-  for (const auto& [key, counts] : evidence) {
-    if (key.service != service) {
-      continue;
-    }
-    auto& route = by_route[key.route];
-    (key.version == version ? route.first : route.second).Add(counts);
-    (key.version == version ? all.first : all.second).Add(counts);
-  }
-  if (FailureLogOdds(all.first, all.second) > kFaultLogOdds) {
+  const ComparedRoutes routes = CompareRoutes(evidence, service, version);
+  const ComparedCounts sum = SumOf(routes);
+  if (FailureLogOdds(sum.target, sum.others) > kFaultLogOdds) {
     return "failures";
   }
-  if (IsSlow(all.first, all.second)) {
+  if (IsSlow(sum.target, sum.others) ||
+      SlowLogOdds(routes, OpenSends::kLeftOut).value_or(0.0) > kFaultLogOdds) {
     return "slow";
   }
-  for (const auto& [route, counts] : by_route) {
-    if (FailureLogOdds(counts.first, counts.second) > kFaultLogOdds) {
+  for (const auto& [route, counts] : routes) {
+    const auto& [target, others] = counts;
+    if (FailureLogOdds(target, others) > kFaultLogOdds) {
       return "failures on route " + route;
     }
-    if (IsSlow(counts.first, counts.second)) {
+    if (IsSlow(target, others) ||
+        SlowLogOdds(target, others, OpenSends::kLeftOut).value_or(0.0) >
+            kFaultLogOdds) {
       return "slow on route " + route;
     }
   }
@@ -166,20 +242,24 @@
     rollout.reason = *fault;
     return;
   }
-  VersionCounts target;
-  for (const auto& [key, counts] : evidence) {
-    if (key.service == order.service && key.version == order.target_version) {
-      target.Add(counts);
-    }
-  }
+  const ComparedRoutes routes =
+      CompareRoutes(evidence, order.service, order.target_version);
+  const std::uint64_t answers = SumOf(routes).target.answers;
+  const auto slow_odds = SlowLogOdds(routes, OpenSends::kIncluded);
   const Duration elapsed = now - rollout.started_at;
   const double progress =
       std::chrono::duration<double>(elapsed) /
       std::chrono::duration<double>(std::max(order.duration, Duration(1)));
+  if (progress >= kCompletionFraction &&
+      slow_odds.value_or(0.0) > kFaultLogOdds) {
+    rollout.state = RolloutState::kReverted;
+    rollout.reason = "slow, with answers that have not begun";
+    return;
+  }
   double stage_share = 0.0;
   for (const Stage& stage : kStages) {
-    if (progress >= stage.start_fraction &&
-        target.answers >= stage.min_answers) {
+    if (progress >= stage.start_fraction && answers >= stage.min_answers &&
+        slow_odds.value_or(stage.max_slow_odds) <= stage.max_slow_odds) {
       stage_share = std::max(stage_share, stage.share);
     }
   }
@@ -191,9 +271,9 @@
     rollout.share = rollout.next_share;
   }
   if (progress >= kCompletionFraction && rollout.share >= 1.0 &&
-      IsSoundOnAllRoutes(evidence, order.service, order.target_version)) {
+      IsSoundOnAllRoutes(routes)) {
     rollout.state = RolloutState::kComplete;
-    rollout.reason = "no fault in " + std::to_string(target.answers);
+    rollout.reason = "no fault in " + std::to_string(answers);
   }
 }
 
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -42,6 +42,9 @@
 // part saves and what a prompt is expected to take.
 constexpr double kPromptTokensPerMs = 20.0;
 constexpr double kFirstEventMs = 40.0;
+// Events after the first one by which the pace of a stream is measured.
+constexpr std::uint64_t kPaceEvents = 4;
+constexpr double kEventGapMs = 40.0;
 // Refused callers return after this, at random, so that they do not return
 // together.
 constexpr Duration kLeastReturn = std::chrono::milliseconds(200);
@@ -349,6 +352,10 @@
   body_.clear();
   events_.Reset();
   engine_.chooser().OnBegin(server_->id);
+  events_of_send_ = 0;
+  pace_id_ = 0;
+  clock_id_ = engine_.answer_clock().Begin(
+      sent_at_, {service_, server_->version, route_->name}, ExpectedDelay());
   engine_.Log({"request_sent",
                {{"request", attempt_id_},
                 {"route", route_->name},
@@ -382,6 +389,9 @@
       misdirected_ || (HeaderValue(head, names.not_executed).has_value() &&
                        PromisesNotRun(status));
   server_failed_ = !not_run_ && (status >= 500 || PromisesNotRun(status));
+  if (!not_run_ && !server_failed_) {
+    engine_.answer_clock().OnAnswer(now, clock_id_);
+  }
   answer_bytes_ = 0;
   const auto type = HeaderValue(head, "Content-Type");
   is_stream_ = route_->streaming && status < 300 &&
@@ -521,6 +531,7 @@
     }
     caller_->Write(event->text);
     ++events_passed_;
+    ClockPace();
     if (event->id.has_value()) {
       last_event_ = event->id;
     }
@@ -595,6 +606,7 @@
 
 auto Forwarder::FinishAttempt(SendOutcome outcome) -> void {
   const Instant now = engine_.Now();
+  EndAnswerClock(now, outcome == SendOutcome::kSilent);
   engine_.chooser().OnEnd(now, server_->id);
   engine_.chooser().OnOutcome(now, server_->id, outcome);
   if (connection_ != nullptr) {
@@ -707,6 +719,7 @@
     return;
   }
   if (server_.has_value()) {
+    EndAnswerClock(engine_.Now(), true);
     engine_.chooser().OnEnd(engine_.Now(), server_->id);
     connection_->Cancel();
     connection_ = nullptr;
@@ -834,14 +847,42 @@
   counts.failures = failed ? 1 : 0;
   if (!failed && head_at_.has_value()) {
     const double took = static_cast<double>(Milliseconds(*head_at_ - sent_at_));
-    const double expected =
-        kFirstEventMs + prompt_.prompt_tokens / kPromptTokensPerMs;
+    const auto expected = static_cast<double>(Milliseconds(ExpectedDelay()));
     counts.timed = 1;
     counts.log_slowness = std::log((took + 1.0) / expected);
   }
   engine_.AddEvidence({service_, server_->version, route_->name}, counts);
 }
 
+auto Forwarder::ExpectedDelay() const -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          kFirstEventMs + prompt_.prompt_tokens / kPromptTokensPerMs));
+}
+
+auto Forwarder::ClockPace() -> void {
+  ++events_of_send_;
+  if (events_of_send_ == 1) {
+    pace_id_ = engine_.answer_clock().Begin(
+        last_bytes_,
+        {service_, server_->version, route_->name + std::string(kPaceSuffix)},
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(kEventGapMs *
+                                                      kPaceEvents)));
+  } else if (events_of_send_ == 1 + kPaceEvents) {
+    engine_.answer_clock().OnAnswer(last_bytes_, pace_id_);
+  }
+}
+
+auto Forwarder::EndAnswerClock(Instant now, bool was_given_up) -> void {
+  // A server that was not heard of since may be cut off rather than slow.
+  const bool was_slow = was_given_up && !engine_.chooser().IsSilent(
+                                            now, server_->id, now - sent_at_);
+  engine_.answer_clock().OnEnd(
+      now, clock_id_,
+      was_slow ? UnansweredEnd::kTooSlow : UnansweredEnd::kNoEvidence);
+}
+
 auto Forwarder::Over(std::string_view outcome, unsigned status) -> void {
   over_ = true;
   timer_.cancel();
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "libzinniastep/base/time.h"
+#include "libzinniastep/gateway/answer_clock.h"
 #include "libzinniastep/gateway/forward_decision.h"
 #include "libzinniastep/gateway/prompt_shape.h"
 #include "libzinniastep/gateway/server_chooser.h"
@@ -77,6 +78,12 @@
   auto ArmTimer() -> void;
   auto Over(std::string_view outcome, unsigned status) -> void;
   auto CountEvidence(bool failed) -> void;
+  // Time until the answer of an unloaded server begins.
+  [[nodiscard]] auto ExpectedDelay() const -> Duration;
+  // Measures the time between the first events of a stream.
+  auto ClockPace() -> void;
+  // Ends the measurements of the send under way that still wait.
+  auto EndAnswerClock(Instant now, bool was_given_up) -> void;
   [[nodiscard]] auto Header(std::string_view name) const -> std::string_view;
   [[nodiscard]] auto TimeLeft() const -> Duration;
 
@@ -114,6 +121,9 @@
   std::shared_ptr<ServerConnection> connection_;
   Instant sent_at_;
   std::optional<Instant> head_at_;
+  AnswerClock::SendId clock_id_ = 0;
+  AnswerClock::SendId pace_id_ = 0;
+  std::uint64_t events_of_send_ = 0;
   Instant last_bytes_;
   // When a whole event came last, or the request was sent.
   Instant last_event_at_;
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -56,6 +56,7 @@
 }
 
 auto TrafficEngine::TakeEvidence() -> std::vector<VersionRow> {
+  answer_clock_.Advance(Now());
   std::vector<VersionRow> rows;
   for (const auto& [key, counts] : evidence_) {
     rows.push_back({key, counts});
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -19,6 +19,7 @@
 #include "libzinniastep/gateway/repeat_budget.h"
 #include "libzinniastep/gateway/server_chooser.h"
 #include "libzinniastep/runtime/metrics.h"
+#include "libzinniastep/gateway/answer_clock.h"
 #include "libzinniastep/traffic/caller_connection.h"
 #include "libzinniastep/traffic/forwarding_headers.h"
 #include "libzinniastep/traffic/server_pool.h"
@@ -81,6 +82,7 @@
   auto DelayOf(const ServiceId& service) -> AnswerDelay& {
     return delays_[service];
   }
+  [[nodiscard]] auto answer_clock() -> AnswerClock& { return answer_clock_; }
   auto AddEvidence(const VersionKey& key, const VersionCounts& counts) -> void;
   auto Log(const LogEvent& event) -> void { log_(event); }
   auto OnRequestBegun(std::shared_ptr<Forwarder> forwarder) -> void;
@@ -106,6 +108,7 @@
   std::map<ServiceId, RepeatBudget> budgets_;
   std::map<ServiceId, AnswerDelay> delays_;
   VersionEvidence evidence_;
+  AnswerClock answer_clock_{evidence_};
   std::set<std::shared_ptr<Forwarder>> active_;
   bool refusing_ = false;
 };
--- a/src/libzinniastep/wire/codec.cc
+++ b/src/libzinniastep/wire/codec.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
--- a/src/libzinniastep/wire/codec.h
+++ b/src/libzinniastep/wire/codec.h
@@ -15,7 +15,7 @@
 namespace zinniastep {
 
 // The version of the messages between hosts. Hosts drop any other.
-inline constexpr std::uint16_t kWireVersion = 2;
+inline constexpr std::uint16_t kWireVersion = 3;
 // Longest message that a host takes, in bytes.
 inline constexpr std::size_t kLongestMessage = 2U << 20U;
 
--- a/tests/gateway/rollout_guard_test.cc
+++ b/tests/gateway/rollout_guard_test.cc
@@ -1,8 +1,13 @@
 #include "libzinniastep/gateway/rollout_guard.h"
 
+#include <cmath>
+#include <map>
+#include <utility>
+
 #include <gtest/gtest.h>
 
 #include "libzinniastep/base/random.h"
+#include "libzinniastep/gateway/answer_clock.h"
 #include "tests/support/gateway_samples.h"
 
 namespace zinniastep::testing {
@@ -150,6 +155,116 @@
   EXPECT_EQ(FindVersionFault(evidence, ServiceId("pool"), "v2"), "slow");
 }
 
+// Result of a simulated roll-out at 33 requests a second, some of which the
+// target answers later.
+struct DelayResult {
+  RolloutState state = RolloutState::kRunning;
+  std::uint64_t requests = 0;
+  std::uint64_t exposed = 0;
+  std::int64_t decided_at = 0;
+};
+
+struct SlowTarget {
+  // Share of the target's requests that take `factor` times as long.
+  double share = 0.0;
+  double factor = 1.0;
+};
+
+// Answers begin after 40 to 160 ms if the server is not slow; the expected time
+// of all is 60 ms.
+auto SimulateDelays(const SlowTarget& target,
+                    std::int64_t duration_ms,
+                    std::uint64_t seed) -> DelayResult {
+  constexpr std::int64_t kRequestIntervalMs = 30;
+  Random random(seed);
+  RolloutGuard guard;
+  RolloutRecord record = Order();
+  record.order.duration = std::chrono::milliseconds(duration_ms);
+  guard.Update(At(0), {record});
+  VersionEvidence evidence;
+  AnswerClock clock(evidence);
+  std::multimap<std::int64_t, std::pair<AnswerClock::SendId, bool>> answers;
+  DelayResult result;
+  for (std::int64_t time = 0; time < duration_ms; time += kRequestIntervalMs) {
+    for (auto due = answers.begin();
+         due != answers.end() && due->first <= time;) {
+      clock.OnAnswer(At(due->first), due->second.first);
+      evidence[{ServiceId("pool"), due->second.second ? "v2" : "v1", "r"}]
+          .answers += 1;
+      due = answers.erase(due);
+    }
+    const bool to_target = random.Unit() < Share(guard);
+    double delay = 40.0 * std::pow(4.0, random.Unit());
+    if (to_target && random.Unit() < target.share) {
+      delay *= target.factor;
+    }
+    const auto send =
+        clock.Begin(At(time), {ServiceId("pool"), to_target ? "v2" : "v1", "r"},
+                    std::chrono::milliseconds(60));
+    answers.emplace(time + static_cast<std::int64_t>(delay),
+                    std::pair(send, to_target));
+    ++result.requests;
+    result.exposed += to_target ? 1 : 0;
+    clock.Advance(At(time));
+    guard.Evaluate(At(time), evidence);
+    const auto due = guard.DueWrites();
+    if (!due.empty() && due[0].state != RolloutState::kRunning) {
+      result.state = due[0].state;
+      result.decided_at = time;
+      break;
+    }
+  }
+  return result;
+}
+
+// Deployments allow an exposure of 0.15 of the requests plus 30, which is 105
+// of 500 here.
+TEST(RolloutGuard, AVersionThatIsSlowInHalfOfItsRequestsIsReverted) {
+  for (const std::int64_t duration : {std::int64_t{15'000}, kDurationMs}) {
+    for (const double factor : {8.0, 30.0}) {
+      int reverted = 0;
+      for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        const DelayResult result =
+            SimulateDelays({0.5, factor}, duration, seed);
+        EXPECT_NE(result.state, RolloutState::kComplete)
+            << duration << " " << factor << " " << seed;
+        EXPECT_LE(result.exposed, 105U)
+            << duration << " " << factor << " " << seed;
+        reverted += result.state == RolloutState::kReverted ? 1 : 0;
+      }
+      EXPECT_GE(reverted, 198) << duration << " " << factor;
+    }
+  }
+}
+
+TEST(RolloutGuard, AVersionThatNeverAnswersHalfOfItsRequestsIsNotCompleted) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const DelayResult result = SimulateDelays({0.5, 1000.0}, 15'000, seed);
+    EXPECT_NE(result.state, RolloutState::kComplete) << seed;
+    EXPECT_LE(result.exposed, 105U) << seed;
+  }
+}
+
+TEST(RolloutGuard, AVersionAsFastAsTheOthersCompletes) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const DelayResult result = SimulateDelays({0.0, 1.0}, kDurationMs, seed);
+    EXPECT_EQ(result.state, RolloutState::kComplete) << seed;
+    EXPECT_LT(result.decided_at, kDurationMs) << seed;
+  }
+}
+
+// Caches of new servers are cold.
+TEST(RolloutGuard, AVersionThatIsALittleSlowerCompletes) {
+  int completed = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    completed += SimulateDelays({0.3, 1.5}, kDurationMs, seed).state ==
+                         RolloutState::kComplete
+                     ? 1
+                     : 0;
+  }
+  EXPECT_GE(completed, 195);
+}
+
 TEST(RolloutGuard, ARestartedHostAdoptsItsPeersProgress) {
   RolloutGuard peer;
   peer.Update(At(0), {Order()});
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -47,7 +47,7 @@
 TEST(CodecTest, RefusesALengthBeyondTheMessage) {
   const Codec codec({"key"});
   const std::string payload(
-      "\x01\x02\x00\x0e\x36\x36\x36\x36\x36\x36\x36\x36\x36", 13);
+      "\x01\x03\x00\x0e\x36\x36\x36\x36\x36\x36\x36\x36\x36", 13);
   const std::string signature = HmacSha256("key", payload).substr(0, 16);
   EXPECT_EQ(codec.Decode(signature + payload).status().message(),
             "length exceeds the message");
