Test for a version that is slow in half of its requests

Cause: a test of a slow share of 0.3 against the usual 0.05 gains 0.31 for each answer in time, so that the full share had to wait for more than twenty of them.

Change: the test assumes a share of one half. A third is still evidence for the fault, an answer in time counts twice as much.

--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -52,17 +52,19 @@
 constexpr std::uint64_t kMinTimedAnswers = 12;
 
 // Sends of the other versions that are needed to tell which delay is unusual,
-// and the share of them that may be longer than that.
+// the share of them that may be longer than that, and the share for a version
+// that is slow in half of its requests.
 constexpr std::uint32_t kMinJudgedSends = 20;
 constexpr double kUsualSlowRate = 0.05;
+constexpr double kFaultySlowRate = 0.5;
 // Logarithm of the odds of slow answers at or below which a route counts as
 // sound.
 constexpr double kSoundSlowLogOdds = -2.0;
 
-// Logarithm of the odds that events happen at kFaultyRate or at three times the
-// baseline, rather than at the baseline.
-auto LogOdds(double events, double others, double baseline) -> double {
-  const double faulty = std::max(kFaultyRate, baseline * 3.0);
+// Logarithm of the odds that events happen at the faulty rate rather than at
+// the baseline.
+auto LogOdds(double events, double others, double faulty, double baseline)
+    -> double {
   return events * std::log(faulty / baseline) +
          others * std::log((1.0 - faulty) / (1.0 - baseline));
 }
@@ -76,7 +78,7 @@
                  kMinBaselineRate, kFaultyRate / 2.0);
   return LogOdds(static_cast<double>(target.failures),
                  static_cast<double>(target.answers - target.failures),
-                 baseline);
+                 std::max(kFaultyRate, baseline * 3.0), baseline);
 }
 
 enum class OpenSends : std::uint8_t { kLeftOut, kIncluded };
@@ -95,7 +97,8 @@
       const std::uint32_t slower =
           target.slower[step] +
           (open_sends == OpenSends::kIncluded ? target.waiting[step] : 0);
-      return LogOdds(slower, target.faster[step], kUsualSlowRate);
+      return LogOdds(slower, target.faster[step], kFaultySlowRate,
+                     kUsualSlowRate);
     }
   }
   return std::nullopt;
