Serve metrics without a comparison that calls itself

Operators who asked a gateway for its metrics got no answer, and the host stood still from then on: requests got no answer either, and SIGTERM did not end the process.

Metrics::Text left out empty buckets with `*bin == 0`, where *bin is a reference into Boost.Histogram's (1.74) own storage. Its mirrored operator==(U, const_reference) returns `b == a`. Since C++20 a comparison also considers operators with swapped arguments, and the mirrored operator is chosen for its own expression, so it calls itself. At -O2 the tail call becomes a jump to itself; at -O0 the stack overflows, and AddressSanitizer's trace shows detail/operators.hpp:51 calling itself. A program of ten lines with that comparison ends at once with -std=c++17 -O2 and not within three seconds with -std=c++20 -O2 (g++ 12.2); the same loop with `double(*bin)` ends with both. The loop ran under the mutex that Count and Observe take, so the traffic and control threads stopped too.

The only other user of Boost.Histogram, zinniastep-load's LatencyHistogram, converts the cell to double and compares integers.

TimeHistogram replaces it here with fixed bounds (the series R10, ten a decade as before), and ExpositionText writes the Prometheus text format 0.0.4: types, all buckets, cumulative, `+Inf`, exact numbers. Before, the buckets' counts were doubles with six digits and the last bound was `inf`. Text is made from a copy, so writers wait for the copy alone. Names of metrics stay; the values of `le` are now round (0.000125, not 0.000125893).

prometheus-cpp is not used: the text takes under a hundred lines here, and the library would be one more package on each user's machine.

On the old code GatewayMetricsTest failed, and MetricsTest was still spinning when it was ended after 8 s:

../tests/process/gateway_metrics_test.cc:56: Failure Value of: page.complete Actual: false ../tests/process/gateway_metrics_test.cc:64: Failure Value of: SendRequest().complete Actual: false ../tests/process/gateway_metrics_test.cc:66: Failure gateway.Wait(seconds(5)) Which is: (nullopt)

--- a/src/libzinniastep/runtime/caller_front.cc
+++ b/src/libzinniastep/runtime/caller_front.cc
@@ -107,8 +107,9 @@
     writer->Send(ready ? kOk : kUnavailable, JsonHeaders(),
                  ready ? R"({"ready":true})" : R"({"ready":false})");
   } else if (path == "/metrics") {
-    const std::vector<HttpHeader> headers = {{"Content-Type", "text/plain"}};
-    writer->Send(kOk, headers, metrics_.Text());
+    const std::vector<HttpHeader> headers = {
+        {"Content-Type", kExpositionContentType}};
+    writer->Send(kOk, headers, ExpositionText(metrics_.Snapshot()));
   } else {
     HandleOperator(request, *writer);
   }
--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -133,8 +133,9 @@
                          [this](const std::shared_ptr<CallerConnection>& caller,
                                 const CallerRequest&) {
                            WholeAnswer answer(http::status::ok, 11);
-                           answer.set(http::field::content_type, "text/plain");
-                           answer.body() = metrics_.Text();
+                           answer.set(http::field::content_type,
+                                      kExpositionContentType);
+                           answer.body() = ExpositionText(metrics_.Snapshot());
                            caller->Answer(std::move(answer));
                          }));
   }
