Hold kept connections to the limits that are in force

What callers saw: after a change of the configuration a request on a kept connection was answered 413 although the new limits allow its body, and a connection that had been idle for less than the new idle timeout was closed, under a request if one crossed.

Cause: CallerConnection copied the limits when the connection was accepted and kept them for as long as it was open, which may be many configurations. A host that accepts before it knows a configuration keeps the defaults in the same way.

Change: the connection takes the source of the limits. It asks for them when it begins to read a request, and again when the idle timer fires; a timeout that has grown meanwhile is waited out.

Evidence: ViewChange.AKeptConnectionTakesBodiesThatTheNewLimitsAllow failed before with "answers[1].status Which is: 413", and AKeptConnectionStaysOpenForTheNewIdleTimeout with "Which is: 0"; AnIdleConnectionIsClosedAfterTheIdleTimeout passed before and after. forwarding_test (24) and silent_server_test (9) pass.

--- a/src/libzinniastep/traffic/caller_connection.cc
+++ b/src/libzinniastep/traffic/caller_connection.cc
@@ -42,18 +42,18 @@
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
-                                   CallerLimits limits,
+                                   LimitsSource limits,
                                    Handler handler)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
-      limits_(limits),
+      limits_source_(std::move(limits)),
       handler_(std::move(handler)) {}
 
 auto CallerConnection::Start() -> void {
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   ProbeSilentPeer(socket_.native_handle(), kProbes);
-  Arm(limits_.idle_timeout);
+  BeginIdle();
   ReadMore();
 }
 
@@ -70,12 +70,28 @@
       if (self->parser_.has_value() && self->parser_->got_some()) {
         self->RejectRequest(http::status::request_timeout);
       } else {
-        self->Close();
+        self->OnIdle();
       }
     }
   });
 }
 
+auto CallerConnection::BeginIdle() -> void {
+  idle_since_ = std::chrono::steady_clock::now();
+  Arm(limits_source_().idle_timeout);
+}
+
+auto CallerConnection::OnIdle() -> void {
+  // Callers keep to the time that is in force, not to the one at its beginning.
+  const auto end = idle_since_ + limits_source_().idle_timeout;
+  const auto now = std::chrono::steady_clock::now();
+  if (now < end) {
+    Arm(std::chrono::ceil<Duration>(end - now));
+    return;
+  }
+  Close();
+}
+
 auto CallerConnection::ReadMore() -> void {
   if (reading_ || closed_ || (busy_ && buffer_.size() >= kMostReadAhead)) {
     return;
@@ -115,6 +131,7 @@
   while (!closed_ && !busy_ && !closing_ && buffer_.size() > 0) {
     if (!parser_.has_value()) {
       parser_.emplace();
+      limits_ = limits_source_();
       parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
       parser_->body_limit(limits_.body_bytes);
       parser_->eager(true);
@@ -267,7 +284,7 @@
     CloseGently();
     return;
   }
-  Arm(limits_.idle_timeout);
+  BeginIdle();
   Parse();
   ReadMore();
 }
--- a/src/libzinniastep/traffic/caller_connection.h
+++ b/src/libzinniastep/traffic/caller_connection.h
@@ -34,9 +34,11 @@
  public:
   using Handler = std::function<void(std::shared_ptr<CallerConnection>,
                                      CallerRequest request)>;
+  // Returns what callers may send now; asked for each request and idle time.
+  using LimitsSource = std::function<CallerLimits()>;
 
   CallerConnection(boost::asio::ip::tcp::socket socket,
-                   CallerLimits limits,
+                   LimitsSource limits,
                    Handler handler);
 
   // Begins to read.
@@ -84,6 +86,10 @@
   auto OnRequest() -> void;
   auto RejectRequest(boost::beast::http::status status) -> void;
   auto Arm(Duration time) -> void;
+  // Begins the time that the caller may stay idle.
+  auto BeginIdle() -> void;
+  // Closes a connection that has been idle for as long as it may now.
+  auto OnIdle() -> void;
   auto Enqueue(std::string bytes) -> void;
   auto WriteNext() -> void;
   auto OnAnswerDone() -> void;
@@ -93,6 +99,8 @@
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  LimitsSource limits_source_;
+  // Limits of the request that is being read.
   CallerLimits limits_;
   Handler handler_;
   std::function<void()> on_gone_;
@@ -112,6 +120,7 @@
   bool closing_ = false;
   bool closed_ = false;
   std::chrono::steady_clock::time_point request_read_;
+  std::chrono::steady_clock::time_point idle_since_;
 };
 
 }  // namespace zinniastep
--- a/src/libzinniastep/traffic/http_listener.cc
+++ b/src/libzinniastep/traffic/http_listener.cc
@@ -21,7 +21,7 @@
 
 auto HttpListener::Start(asio::io_context& io,
                          std::string_view address,
-                         LimitsSource limits,
+                         CallerConnection::LimitsSource limits,
                          CallerConnection::Handler handler)
     -> absl::StatusOr<std::unique_ptr<HttpListener>> {
   const auto endpoint = ParseEndpoint(address);
@@ -37,7 +37,7 @@
 }
 
 HttpListener::HttpListener(asio::io_context& io,
-                           LimitsSource limits,
+                           CallerConnection::LimitsSource limits,
                            CallerConnection::Handler handler)
     : acceptor_(io),
       accept_pause_(io),
@@ -82,8 +82,8 @@
           });
           return;
         }
-        auto connection = std::make_shared<CallerConnection>(
-            std::move(socket), limits_(), handler_);
+        auto connection = std::make_shared<CallerConnection>(std::move(socket),
+                                                             limits_, handler_);
         Prune();
         connections_.push_back(connection);
         if (shutting_down_) {
--- a/src/libzinniastep/traffic/http_listener.h
+++ b/src/libzinniastep/traffic/http_listener.h
@@ -18,18 +18,15 @@
 // thread only.
 class HttpListener {
  public:
-  // Returns what callers may send now; asked for each new connection.
-  using LimitsSource = std::function<CallerLimits()>;
-
   // Binds a numeric "address:port". Connections wait there until BeginAccept.
   static auto Start(boost::asio::io_context& io,
                     std::string_view address,
-                    LimitsSource limits,
+                    CallerConnection::LimitsSource limits,
                     CallerConnection::Handler handler)
       -> absl::StatusOr<std::unique_ptr<HttpListener>>;
 
   HttpListener(boost::asio::io_context& io,
-               LimitsSource limits,
+               CallerConnection::LimitsSource limits,
                CallerConnection::Handler handler);
 
   // Begins to accept, once; further calls change nothing.
@@ -57,7 +54,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_pause_;
-  LimitsSource limits_;
+  CallerConnection::LimitsSource limits_;
   CallerConnection::Handler handler_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
   bool accepting_ = false;
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -36,7 +36,7 @@
   return route;
 }
 
-auto Policy() -> std::shared_ptr<const TrafficPolicy> {
+auto Policy(CallerLimits limits = {}) -> std::shared_ptr<const TrafficPolicy> {
   ForwardingRoute once = Route("/once/");
   ForwardingRoute idem = Route("/idem/");
   idem.repeat_rule = RepeatRule::kIdempotent;
@@ -63,7 +63,7 @@
   account.keys = {"k"};
   return std::make_shared<const TrafficPolicy>(
       1, std::vector{once, idem, generate, stall, single, quick},
-      std::vector{service}, std::vector{account}, CallerLimits());
+      std::vector{service}, std::vector{account}, limits);
 }
 
 auto ViewOf(const ServerAddresses& servers) -> std::shared_ptr<TrafficView> {
@@ -93,6 +93,21 @@
   return addresses;
 }
 
+auto ReadAnswer(Tcp::socket& socket, boost::beast::flat_buffer& buffer)
+    -> CallerAnswer {
+  http::response_parser<http::string_body> parser;
+  boost::system::error_code error;
+  http::read(socket, buffer, parser, error);
+  CallerAnswer answer;
+  if (parser.is_header_done()) {
+    answer.status = static_cast<int>(parser.get().result_int());
+    answer.head = HeadText(parser.get().base());
+  }
+  answer.whole = !error && parser.is_done();
+  answer.body = parser.get().body();
+  return answer;
+}
+
 }  // namespace
 
 EngineHost::EngineHost(const std::vector<const ScriptedServer*>& servers,
@@ -145,17 +160,26 @@
   socket.connect({asio::ip::make_address("127.0.0.1"), port_});
   asio::write(socket, asio::buffer(request));
   boost::beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  boost::system::error_code error;
-  http::read(socket, buffer, parser, error);
-  CallerAnswer answer;
-  if (parser.is_header_done()) {
-    answer.status = static_cast<int>(parser.get().result_int());
-    answer.head = HeadText(parser.get().base());
+  return ReadAnswer(socket, buffer);
+}
+
+auto EngineHost::CallInTurn(const std::vector<std::string>& requests,
+                            const std::function<void()>& between)
+    -> std::vector<CallerAnswer> {
+  asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+  boost::beast::flat_buffer buffer;
+  std::vector<CallerAnswer> answers;
+  for (const std::string& request : requests) {
+    if (!answers.empty()) {
+      between();
+    }
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(request), error);
+    answers.push_back(ReadAnswer(socket, buffer));
   }
-  answer.whole = !error && parser.is_done();
-  answer.body = parser.get().body();
-  return answer;
+  return answers;
 }
 
 auto EngineHost::CallUntil(const std::string& request,
@@ -208,6 +232,10 @@
   changed.get_future().wait();
 }
 
+auto EngineHost::LimitCallers(CallerLimits limits) -> void {
+  ChangeView([&](TrafficView& view) { view.policy = Policy(limits); });
+}
+
 auto EngineHost::Logged(const std::string& event, const std::string& field)
     -> std::vector<std::string> {
   std::promise<std::vector<std::string>> promise;
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -69,6 +69,15 @@
   // Answers that the engine has counted as evidence since the last call.
   auto CountedAnswers() -> std::uint64_t;
 
+  // Sends requests on one connection, each after the answer to the one before
+  // and a call of `between`.
+  auto CallInTurn(const std::vector<std::string>& requests,
+                  const std::function<void()>& between)
+      -> std::vector<CallerAnswer>;
+
+  // Replaces the policy by one with other limits.
+  auto LimitCallers(CallerLimits limits) -> void;
+
   // Replaces the view by one whose servers listen at these addresses, as "s0",
   // "s1" and so on; an empty address leaves its server out.
   auto ListServers(const ServerAddresses& servers) -> void;
