Keep counting open requests across a change of the view

What callers saw: nothing directly yet; found in review. A stream at a server that hangs, with another server free, would wait until its deadline when the list had changed meanwhile, and a stream at a sound server that was not listed for a moment counted as silent though its neighbours received bytes.

Cause: SetView() dropped the state of a server that was unlisted or restarted, with its count of open requests. Without a state IsSilent() returns true whatever other requests receive. With a new state and no open request it returns false for ever, and the end of an older request took a newer one out of the count, with the same effect and a load that was estimated too low.

Change: the state of an unlisted server stays while requests to it are open, and a new incarnation takes over the count of open requests, each of which still ends by OnEnd().

Evidence: ServerChooser.AServerThatRestartsKeepsTheRequestsThatAreOpen failed before ("chooser.IsSilent(At(1000), id, std::chrono::seconds(1)) Actual: false Expected: true"), AServerThatIsListedAgainKeepsTheRequestsThatAreOpen failed before ("Actual: true Expected: false" while unlisted, "Actual: false Expected: true" after). server_chooser_test (17), gateway_core_test (20) and placing_hints_test (12) pass.

--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -82,8 +82,17 @@
     state.last_progress = now;
     state.cold_refilled_at = now;
     state.warm_refilled_at = now;
+    if (found != server_states_.end()) {
+      // Requests to the previous incarnation still end one by one.
+      state.open = found->second.open;
+    }
     kept[backend.entry.id] = state;
   }
+  for (const auto& [id, state] : server_states_) {
+    if (state.open > 0) {
+      kept.try_emplace(id, state);
+    }
+  }
   server_states_ = std::move(kept);
 }
 
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -71,7 +71,8 @@
  public:
   ServerChooser(HostId self, FailureDomainId domain, RegionId region);
 
-  // Replaces the view. State of servers that are no longer listed is dropped.
+  // Replaces the view. State of servers that are no longer listed is dropped
+  // unless requests to them are open.
   auto SetView(Instant now, std::shared_ptr<const TrafficView> view) -> void;
 
   // Returns a server of the current view, or null; reason() then returns why.
--- a/tests/gateway/server_chooser_test.cc
+++ b/tests/gateway/server_chooser_test.cc
@@ -40,6 +40,32 @@
   EXPECT_EQ(IdOf(chooser.Choose(At(0), Need())), "away");
 }
 
+TEST(ServerChooser, AServerThatRestartsKeepsTheRequestsThatAreOpen) {
+  const BackendServerId id("a");
+  BackendEntry entry = Backend("a");
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({entry}));
+  chooser.OnBegin(id);
+  entry.started = 2;
+  chooser.SetView(At(0), View({entry}));
+  EXPECT_TRUE(chooser.IsSilent(At(1000), id, std::chrono::seconds(1)));
+  chooser.OnBegin(id);
+  chooser.OnEnd(At(1000), id);
+  EXPECT_TRUE(chooser.IsSilent(At(2000), id, std::chrono::seconds(1)));
+}
+
+TEST(ServerChooser, AServerThatIsListedAgainKeepsTheRequestsThatAreOpen) {
+  const BackendServerId id("a");
+  ServerChooser chooser = Chooser();
+  chooser.SetView(At(0), View({Backend("a"), Backend("b")}));
+  chooser.OnBegin(id);
+  chooser.SetView(At(0), View({Backend("b")}));
+  chooser.OnProgress(At(500), id);
+  EXPECT_FALSE(chooser.IsSilent(At(1000), id, std::chrono::seconds(1)));
+  chooser.SetView(At(1000), View({Backend("a"), Backend("b")}));
+  EXPECT_TRUE(chooser.IsSilent(At(1500), id, std::chrono::seconds(1)));
+}
+
 TEST(ServerChooser, ReportedLoadOfOtherHostsCountsAndDecays) {
   ServerChooser chooser = Chooser();
   chooser.SetView(At(0), View({Backend("a"), Backend("b")}));
