Do not move a stream whose caller reads slowly

What callers saw: a caller that paused for longer than the silence that this host allows had its stream run a second time at another server, and sound servers were avoided for a while by all requests of the host, as if they had been silent.

Cause: while much waits for the caller, this host stops reading from the server. No byte is then recorded for the stream, OverdueFor() took that for the server's silence, and LeaveServer() moved the stream, once for each server that was left, each time counting the server as silent and the move in the repeat budget.

Change: an attempt whose connection is paused is not overdue, and the time without bytes begins anew when the connection is read again.

Evidence: SlowCaller.AStreamStaysAtItsServerWhileTheCallerReadsNothing (a caller that reads nothing for 2.5 s, a stream of 16 MB, two servers) failed before with "first.requests().size() + second.requests().size() Which is: 2" and an overdue_attempt_moved line; it passes now. forwarding_test (24) and silent_server_test (9) pass.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -105,8 +105,8 @@
       },
       [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self != nullptr && self->connection_ != nullptr) {
-          self->connection_->Resume();
+        if (self != nullptr) {
+          self->OnCallerDrained();
         }
       });
   if (const unsigned status = FindPlace(); status != 0) {
@@ -728,6 +728,17 @@
   Over("caller_left", 0);
 }
 
+auto Forwarder::OnCallerDrained() -> void {
+  if (connection_ == nullptr || !connection_->is_paused()) {
+    return;
+  }
+  // Nothing was read meanwhile, whatever the server sent.
+  last_bytes_ = engine_.Now();
+  last_event_at_ = last_bytes_;
+  engine_.chooser().OnProgress(last_bytes_, server_->id);
+  connection_->Resume();
+}
+
 auto Forwarder::ArmTimer() -> void {
   const Instant now = engine_.Now();
   Instant next = progress_.deadline;
@@ -778,7 +789,7 @@
 }
 
 auto Forwarder::OverdueFor(Instant now) const -> std::optional<Overdue> {
-  if (!server_.has_value()) {
+  if (!server_.has_value() || connection_->is_paused()) {
     return std::nullopt;
   }
   if (!progress_.resumable) {
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -69,6 +69,7 @@
   auto Refuse(std::string_view reason) -> void;
   auto Fail(unsigned status, std::string_view reason) -> void;
   auto OnCallerGone() -> void;
+  auto OnCallerDrained() -> void;
   auto OnTimer() -> void;
   // What the attempt under way is overdue for at `now`, if anything.
   [[nodiscard]] auto OverdueFor(Instant now) const -> std::optional<Overdue>;
--- a/src/libzinniastep/traffic/server_connection.h
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -68,6 +68,7 @@
   // Stops and goes on reading the answer.
   auto Pause() -> void;
   auto Resume() -> void;
+  [[nodiscard]] auto is_paused() const -> bool { return paused_; }
 
   // Watches the idle connection, which becomes unusable when anything comes.
   auto BecomeIdle() -> void;
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -24,6 +24,9 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+// Receive buffer of a caller that reads late.
+constexpr int kSmallWindow = 4096;
+
 auto Route(const std::string& prefix) -> ForwardingRoute {
   ForwardingRoute route;
   route.name = prefix;
@@ -96,6 +99,7 @@
 auto ReadAnswer(Tcp::socket& socket, boost::beast::flat_buffer& buffer)
     -> CallerAnswer {
   http::response_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
   boost::system::error_code error;
   http::read(socket, buffer, parser, error);
   CallerAnswer answer;
@@ -163,6 +167,19 @@
   return ReadAnswer(socket, buffer);
 }
 
+auto EngineHost::CallAndPause(const std::string& request,
+                              std::chrono::milliseconds pause) -> CallerAnswer {
+  asio::io_context io;
+  Tcp::socket socket(io);
+  socket.open(Tcp::v4());
+  socket.set_option(asio::socket_base::receive_buffer_size(kSmallWindow));
+  socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+  asio::write(socket, asio::buffer(request));
+  std::this_thread::sleep_for(pause);
+  boost::beast::flat_buffer buffer;
+  return ReadAnswer(socket, buffer);
+}
+
 auto EngineHost::CallInTurn(const std::vector<std::string>& requests,
                             const std::function<void()>& between)
     -> std::vector<CallerAnswer> {
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -69,6 +69,10 @@
   // Answers that the engine has counted as evidence since the last call.
   auto CountedAnswers() -> std::uint64_t;
 
+  // Sends a request and reads its answer only after a pause.
+  auto CallAndPause(const std::string& request, std::chrono::milliseconds pause)
+      -> CallerAnswer;
+
   // Sends requests on one connection, each after the answer to the one before
   // and a call of `between`.
   auto CallInTurn(const std::vector<std::string>& requests,
