Take an answer on a used connection only with an id sent there once

Callers of idempotent and resumable routes were told 503 ("not run, try again") for a request that its server had taken: a faulty server wrote a refusal to an earlier request once more on a kept connection, without an id or with the id of a request that went over the same connection twice. A 200 without an id reached the next caller as its answer.

Cause: an answer counted as foreign only if it had another id than the request. One without an id was taken for the request's own on any connection, and the pool gave a request with a repeated id a connection that had carried that id.

On a connection that was used before, an answer now has to carry the request's id, and that id must have been sent once there; after any other answer the outcome is unknown and the connection is closed. The pool gives an attempt no connection that has carried its id, and none that was used to an attempt without one. A connection carries 1,000 requests at most, which bounds the ids that it remembers. At-most-once requests were not affected: they get a new connection each.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -329,7 +329,7 @@
       !is_return &&
       (progress_.resumable || progress_.repeat_rule == RepeatRule::kIdempotent);
   const Reuse reuse = may_reuse ? Reuse::kAllowed : Reuse::kForbidden;
-  connection_ = engine_.pool().Take(backend.entry.address, reuse);
+  connection_ = engine_.pool().Take(backend.entry.address, reuse, attempt_id_);
   if (connection_ == nullptr) {
     engine_.Log({"address_malformed",
                  {{"request", attempt_id_},
--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "libzinniastep/base/hash.h"
 #include "libzinniastep/runtime/socket_options.h"
 #include "libzinniastep/traffic/http_text.h"
 
@@ -29,6 +30,8 @@
 // Idle connections are not kept longer, and less when the server says so.
 constexpr std::chrono::milliseconds kLongestIdle(4000);
 constexpr std::chrono::milliseconds kIdleReserve(700);
+// Requests that one connection carries.
+constexpr std::size_t kMostRequests = 1000;
 
 auto IdleTime(const AnswerHead& head) -> std::chrono::milliseconds {
   const auto header = HeaderValue(head, "Keep-Alive");
@@ -68,6 +71,8 @@
   request_ = std::move(request);
   attempt_id_ = std::move(attempt_id);
   exchange_ = std::move(exchange);
+  was_used_ = !carried_.empty();
+  was_id_carried_ = !carried_.insert(StableHash(attempt_id_)).second;
   sent_ = false;
   written_ = false;
   head_done_ = false;
@@ -192,9 +197,20 @@
   const auto echoed = HeaderValue(head, attempt_id_header_);
   foreign_ = (echoed.has_value() && *echoed != attempt_id_) ||
              parser_->get().result_int() < 200;
-  if (!foreign_) {
-    exchange_->OnHead(head);
+  if (foreign_) {
+    return;
+  }
+  if (!IsAttributable(head)) {
+    End(ExchangeEnd::kBroken);
+    return;
   }
+  exchange_->OnHead(head);
+}
+
+auto ServerConnection::IsAttributable(const AnswerHead& head) const -> bool {
+  // Nothing but this request can have an answer on a new connection.
+  return !was_used_ || (!was_id_carried_ && !attempt_id_.empty() &&
+                        HeaderValue(head, attempt_id_header_) == attempt_id_);
 }
 
 auto ServerConnection::DeliverBody() -> void {
@@ -282,7 +298,13 @@
 
 auto ServerConnection::IsReusable(
     std::chrono::steady_clock::time_point now) const -> bool {
-  return usable_ && connected_ && exchange_ == nullptr && now < idle_until_;
+  return usable_ && connected_ && exchange_ == nullptr &&
+         carried_.size() < kMostRequests && now < idle_until_;
+}
+
+auto ServerConnection::CanTellApart(std::string_view attempt_id) const -> bool {
+  return carried_.empty() ||
+         (!attempt_id.empty() && !carried_.contains(StableHash(attempt_id)));
 }
 
 auto ServerConnection::Close() -> void {
--- a/src/libzinniastep/traffic/server_connection.h
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -75,6 +76,9 @@
   // Whether another request may go out on the connection.
   [[nodiscard]] auto IsReusable(std::chrono::steady_clock::time_point now) const
       -> bool;
+  // Whether an answer with the attempt's id could only be the one to its next
+  // send on this connection.
+  [[nodiscard]] auto CanTellApart(std::string_view attempt_id) const -> bool;
   [[nodiscard]] auto endpoint() const -> const boost::asio::ip::tcp::endpoint& {
     return endpoint_;
   }
@@ -89,6 +93,7 @@
   auto OnBytes() -> void;
   auto OnReadEnd(bool clean) -> void;
   auto OnHeadDone() -> void;
+  [[nodiscard]] auto IsAttributable(const AnswerHead& head) const -> bool;
   auto OnAnswerDone() -> void;
   auto DeliverBody() -> void;
   auto End(ExchangeEnd end) -> void;
@@ -112,6 +117,12 @@
   // The answer being read belongs to an earlier request.
   bool foreign_ = false;
   bool usable_ = true;
+  // Hashes of the ids of all attempts that were sent on the connection.
+  std::unordered_set<std::uint64_t> carried_;
+  // The answers that the connection may still bring belong to more than one
+  // attempt, or to two sends of one.
+  bool was_used_ = false;
+  bool was_id_carried_ = false;
   std::chrono::steady_clock::time_point idle_until_;
 };
 
--- a/src/libzinniastep/traffic/server_pool.cc
+++ b/src/libzinniastep/traffic/server_pool.cc
@@ -11,15 +11,22 @@
                        std::string attempt_id_header)
     : io_(io), attempt_id_header_(std::move(attempt_id_header)) {}
 
-auto ServerPool::Take(const std::string& address, Reuse reuse)
+auto ServerPool::Take(const std::string& address,
+                      Reuse reuse,
+                      std::string_view attempt_id)
     -> std::shared_ptr<ServerConnection> {
   const auto now = std::chrono::steady_clock::now();
   if (reuse == Reuse::kAllowed) {
     auto& idle = idle_[address];
-    while (!idle.empty()) {
-      // The one used last is the least likely to be closed by now.
-      std::shared_ptr<ServerConnection> connection = std::move(idle.back());
-      idle.pop_back();
+    // The one used last is the least likely to be closed by now.
+    for (std::size_t index = idle.size(); index-- > 0;) {
+      if (idle[index]->IsReusable(now) &&
+          !idle[index]->CanTellApart(attempt_id)) {
+        continue;
+      }
+      const std::shared_ptr<ServerConnection> connection =
+          std::move(idle[index]);
+      idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
       if (connection->IsReusable(now)) {
         return connection;
       }
--- a/src/libzinniastep/traffic/server_pool.h
+++ b/src/libzinniastep/traffic/server_pool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -25,10 +26,11 @@
  public:
   ServerPool(boost::asio::io_context& io, std::string attempt_id_header);
 
-  // Returns a connection to a numeric "address:port", or null for a malformed
-  // one.
-  auto Take(const std::string& address, Reuse reuse)
-      -> std::shared_ptr<ServerConnection>;
+  // Returns a connection to a numeric "address:port" for an attempt, or null
+  // for a malformed address. A used connection has not carried the attempt.
+  auto Take(const std::string& address,
+            Reuse reuse,
+            std::string_view attempt_id) -> std::shared_ptr<ServerConnection>;
 
   // Keeps a connection for the next request if it can carry one.
   auto Return(const std::string& address,
