Join no stream to a long plain answer that broke off

On a resumable route, a plain answer of more than a megabyte that had begun and broke off was asked for again; when the next server answered with events, the caller found them after the half body, and with chunks the whole looked complete.

Cause: whether a broken answer may go on elsewhere was asked of the route, not of the answer. A plain answer that has begun is no longer resumable.

EventsAreNotJoinedToALongPlainAnswer failed before for both framings: "data:" was found at offset 2097158, 2 sends in place of 1, and the chunked answer was whole.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -490,6 +490,8 @@
       body_.size() > kMostHeldBody) {
     answer_begun_ = true;
     progress_.caller_has_bytes = true;
+    // Nothing can be joined to it.
+    progress_.resumable = false;
     AnswerHead head = head_;
     EraseHopByHop(head);
     caller_->BeginAnswer(std::move(head));
--- a/tests/traffic/broken_stream_test.cc
+++ b/tests/traffic/broken_stream_test.cc
@@ -96,5 +96,19 @@
   EXPECT_EQ(HeaderOf(result.answer.head, "Content-Length"), "");
 }
 
+TEST(BrokenStream, EventsAreNotJoinedToALongPlainAnswer) {
+  const std::string part(std::size_t{2} << 20U, 'p');
+  const std::string head = "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n";
+  for (const std::string& begun :
+       {head + "Content-Length: 4000000\r\n\r\n" + part,
+        head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(part)}) {
+    const BrokenResult result = CallBroken(
+        {"/gen/", begun, {StreamHead() + Chunk(Event(1)) + kLastChunk}});
+    EXPECT_FALSE(result.answer.whole);
+    EXPECT_EQ(result.answer.body.find("data:"), std::string::npos);
+    EXPECT_EQ(result.sends, 1);
+  }
+}
+
 }  // namespace
 }  // namespace zinniastep::testing
