Do not go on with a stream whose events have no ids

A stream of events without ids that broke off was begun anew by the next server, and the caller got the same events twice. An event without an id from the next server, such as an error's text, went into a stream with ids.

Without an id nobody knows where to go on. An event with data and no id now makes a stream end when it breaks; from a server that goes on with a stream, it ends the send (log event stream_unnumbered). Comments still pass.

OneWhoseEventsHaveNoIdsIsNotBegunAnew failed before (body "data: t" twice, 2 sends, whole), and so did NoEventWithoutAnIdIsJoinedToNumberedOnes (the body held "data: error", whole).

--- a/src/libzinniastep/traffic/event_splitter.cc
+++ b/src/libzinniastep/traffic/event_splitter.cc
@@ -21,17 +21,20 @@
                          : returns + kEmptyLineWithReturns.size();
 }
 
-auto EventId(std::string_view event) -> std::optional<std::uint64_t> {
-  constexpr std::string_view kField = "id:";
+auto ReadFields(StreamEvent& read) -> void {
+  constexpr std::string_view kId = "id:";
+  constexpr std::string_view kData = "data";
+  std::string_view event = read.text;
   while (!event.empty()) {
     const auto end = event.find('\n');
     std::string_view line = event.substr(0, end);
     event = end == std::string_view::npos ? std::string_view()
                                           : event.substr(end + 1);
-    if (!line.starts_with(kField)) {
+    read.has_data = read.has_data || line.starts_with(kData);
+    if (read.id.has_value() || !line.starts_with(kId)) {
       continue;
     }
-    line.remove_prefix(kField.size());
+    line.remove_prefix(kId.size());
     while (line.starts_with(' ')) {
       line.remove_prefix(1);
     }
@@ -39,10 +42,9 @@
     const auto result =
         std::from_chars(line.data(), line.data() + line.size(), id);
     if (result.ec == std::errc()) {
-      return id;
+      read.id = id;
     }
   }
-  return std::nullopt;
 }
 
 }  // namespace
@@ -59,9 +61,9 @@
     searched_ = pending_.size();
     return std::nullopt;
   }
-  StreamEvent event{pending_.substr(begin_, end - begin_), std::nullopt};
+  StreamEvent event{pending_.substr(begin_, end - begin_), std::nullopt, false};
   begin_ = searched_ = end;
-  event.id = EventId(event.text);
+  ReadFields(event);
   return event;
 }
 
--- a/src/libzinniastep/traffic/event_splitter.h
+++ b/src/libzinniastep/traffic/event_splitter.h
@@ -13,6 +13,8 @@
 struct StreamEvent {
   std::string text;
   std::optional<std::uint64_t> id;
+  // Whether it says anything, unlike a comment.
+  bool has_data = false;
 };
 
 // Longest event that is taken, in bytes: a thousand times what an event of some
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -515,6 +515,13 @@
                              : SendOutcome::kBroken);
 }
 
+auto Forwarder::EndUnnumberedStream() -> void {
+  engine_.Log({"stream_unnumbered",
+               {{"request", attempt_id_}, {"server", server_->id.text()}}});
+  connection_->Cancel();
+  OnAttemptOver(SendOutcome::kBroken);
+}
+
 auto Forwarder::TakeEvents(std::string_view bytes) -> void {
   events_.Add(bytes);
   while (auto event = events_.Next()) {
@@ -522,6 +529,14 @@
         *event->id <= *last_event_) {
       continue;
     }
+    if (event->has_data && !event->id.has_value()) {
+      // Another server could not tell where to go on.
+      if (events_of_send_ < events_passed_) {
+        EndUnnumberedStream();
+        return;
+      }
+      progress_.resumable = false;
+    }
     if (!answer_begun_) {
       answer_begun_ = true;
       progress_.caller_has_bytes = true;
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -64,6 +64,8 @@
   auto TakeEvents(std::string_view bytes) -> void;
   // Ends the send whose server goes on for longer than any answer may be.
   auto EndOverlongAnswer() -> void;
+  // Ends the send whose events cannot be told from those passed on before.
+  auto EndUnnumberedStream() -> void;
   auto OnStreamEnd() -> void;
   auto AnswerWhole() -> void;
   auto Refuse(std::string_view reason) -> void;
--- a/tests/traffic/broken_stream_test.cc
+++ b/tests/traffic/broken_stream_test.cc
@@ -96,6 +96,26 @@
   EXPECT_EQ(HeaderOf(result.answer.head, "Content-Length"), "");
 }
 
+TEST(BrokenStream, OneWhoseEventsHaveNoIdsIsNotBegunAnew) {
+  const std::string event = "data: t\n\n";
+  const BrokenResult result =
+      CallBroken({"/stall/",
+                  StreamHead() + Chunk(event),
+                  {StreamHead() + Chunk(event) + kLastChunk}});
+  EXPECT_FALSE(result.answer.whole);
+  EXPECT_EQ(result.answer.body, event);
+  EXPECT_EQ(result.sends, 1);
+}
+
+TEST(BrokenStream, NoEventWithoutAnIdIsJoinedToNumberedOnes) {
+  const BrokenResult result =
+      CallBroken({"/stall/",
+                  StreamHead() + Chunk(Event(1)),
+                  {StreamHead() + Chunk("data: error\n\n") + kLastChunk}});
+  EXPECT_FALSE(result.answer.whole);
+  EXPECT_EQ(result.answer.body, Event(1));
+}
+
 TEST(BrokenStream, EventsAreNotJoinedToALongPlainAnswer) {
   const std::string part(std::size_t{2} << 20U, 'p');
   const std::string head = "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n";
