--- a/src/libzinniastep/traffic/server_pool.cc
+++ b/src/libzinniastep/traffic/server_pool.cc
@@ -24,8 +24,7 @@
           !idle[index]->CanTellApart(attempt_id)) {
         continue;
       }
-      const std::shared_ptr<ServerConnection> connection =
-          std::move(idle[index]);
+      std::shared_ptr<ServerConnection> connection = std::move(idle[index]);
       idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
       if (connection->IsReusable(now)) {
         return connection;
--- a/tests/traffic/broken_stream_test.cc
+++ b/tests/traffic/broken_stream_test.cc
@@ -118,10 +118,15 @@
 
 TEST(BrokenStream, EventsAreNotJoinedToALongPlainAnswer) {
   const std::string part(std::size_t{2} << 20U, 'p');
-  const std::string head = "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n";
-  for (const std::string& begun :
-       {head + "Content-Length: 4000000\r\n\r\n" + part,
-        head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(part)}) {
+  std::string with_length =
+      "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
+      "Content-Length: 4000000\r\n\r\n";
+  with_length += part;
+  std::string in_chunks =
+      "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  in_chunks += Chunk(part);
+  for (const std::string& begun : {with_length, in_chunks}) {
     const BrokenResult result = CallBroken(
         {"/gen/", begun, {StreamHead() + Chunk(Event(1)) + kLastChunk}});
     EXPECT_FALSE(result.answer.whole);
--- a/tests/traffic/stale_answer_test.cc
+++ b/tests/traffic/stale_answer_test.cc
@@ -141,7 +141,7 @@
   const auto script = [&stale](std::mt19937& random) {
     return [&stale, &random](const std::string& request) {
       const std::string id = HeaderOf(request, "Zinniastep-Attempt-Id");
-      const std::string extra = stale[random() % stale.size()];
+      const std::string& extra = stale[random() % stale.size()];
       const std::string whole = WholeAnswer(id, id);
       switch (random() % 6) {
         case 0:
