--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -329,7 +329,7 @@
       !is_return &&
       (progress_.resumable || progress_.repeat_rule == RepeatRule::kIdempotent);
   const Reuse reuse = may_reuse ? Reuse::kAllowed : Reuse::kForbidden;
-  connection_ = engine_.pool().Take(backend.entry.address, reuse);
+  connection_ = engine_.pool().Take(backend.entry.address, reuse, attempt_id_);
   if (connection_ == nullptr) {
     engine_.Log({"address_malformed",
                  {{"request", attempt_id_},
@@ -394,7 +394,7 @@
   }
   answer_bytes_ = 0;
   const auto type = HeaderValue(head, "Content-Type");
-  is_stream_ = route_->streaming && status < 300 &&
+  is_stream_ = route_->streaming && status == 200 &&
                type.value_or("").starts_with("text/event-stream");
   if (!not_run_) {
     progress_.may_have_run = true;
@@ -490,6 +490,8 @@
       body_.size() > kMostHeldBody) {
     answer_begun_ = true;
     progress_.caller_has_bytes = true;
+    // Nothing can be joined to it.
+    progress_.resumable = false;
     AnswerHead head = head_;
     EraseHopByHop(head);
     caller_->BeginAnswer(std::move(head));
@@ -513,6 +515,13 @@
                              : SendOutcome::kBroken);
 }
 
+auto Forwarder::EndUnnumberedStream() -> void {
+  engine_.Log({"stream_unnumbered",
+               {{"request", attempt_id_}, {"server", server_->id.text()}}});
+  connection_->Cancel();
+  OnAttemptOver(SendOutcome::kBroken);
+}
+
 auto Forwarder::TakeEvents(std::string_view bytes) -> void {
   events_.Add(bytes);
   while (auto event = events_.Next()) {
@@ -520,6 +529,14 @@
         *event->id <= *last_event_) {
       continue;
     }
+    if (event->has_data && !event->id.has_value()) {
+      // Another server could not tell where to go on.
+      if (events_of_send_ < events_passed_) {
+        EndUnnumberedStream();
+        return;
+      }
+      progress_.resumable = false;
+    }
     if (!answer_begun_) {
       answer_begun_ = true;
       progress_.caller_has_bytes = true;
