Drop the bytes of a request that its server does not take

What callers saw: on cut-heals a request reaches a server later than the bound after the server began to leave (DRAIN, 2,516 to 2,595 ms, bound 2,500).

Causes fixed here: (a) Bytes that the peer had not acknowledged stayed with the system for a constant 2,500 ms, which is no less than the bound of leaving servers, and were then ended by the system and not by a reset of ours. (b) A connection whose answer was whole before its request had gone out was closed without a reset, so the system went on sending the rest.

Change: the limit follows from GatewaySettings.leaving_time less the time that the news of a leaving server takes. ServerConnection looks at the bytes that are not acknowledged (SIOCOUTQ) and resets when the server takes none for the limit; a server that takes some, however slowly, keeps the exchange. The system's own timeout comes later, so that the reset goes first. A connection that is closed after a whole answer is reset when bytes of the request are undelivered. The exchange still ends as broken, so a request that must run at most once stays "unknown".

Evidence: undelivered_bytes_test, 8 tests pass. Linked with the former behaviour (no watch, no reset after a whole answer) two fail: AreDroppedWhenTheAnswerIsWholeBeforeTheRequest reads the end of the stream (asio.misc:2) instead of connection_reset, and AreDroppedWhenThePeerTakesNoneForTheLimit has no end after twice the limit. forwarding_test (24) and silent_server_test (9) pass.

--- a/src/libzinniastep/runtime/socket_options.cc
+++ b/src/libzinniastep/runtime/socket_options.cc
@@ -1,7 +1,9 @@
 #include "libzinniastep/runtime/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace zinniastep {
@@ -32,4 +34,12 @@
   SetOption(socket, SOL_SOCKET, SO_LINGER, linger{1, 0});
 }
 
+auto UnacknowledgedBytes(int socket) -> std::optional<std::size_t> {
+  int bytes = 0;
+  if (ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes < 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
 }  // namespace zinniastep
--- a/src/libzinniastep/runtime/socket_options.h
+++ b/src/libzinniastep/runtime/socket_options.h
@@ -1,6 +1,9 @@
 #ifndef LIBZINNIASTEP_RUNTIME_SOCKET_OPTIONS_H_
 #define LIBZINNIASTEP_RUNTIME_SOCKET_OPTIONS_H_
 
+#include <cstddef>
+#include <optional>
+
 namespace zinniastep {
 
 // Options of TCP sockets, by their descriptors. One that the system refuses is
@@ -19,6 +22,11 @@
 // it, seconds later when the network held it back.
 auto DropUnsentOnClose(int socket) -> void;
 
+// Returns how many bytes that were written the peer has not acknowledged, or
+// nothing when the system does not tell.
+[[nodiscard]] auto UnacknowledgedBytes(int socket)
+    -> std::optional<std::size_t>;
+
 }  // namespace zinniastep
 
 #endif  // LIBZINNIASTEP_RUNTIME_SOCKET_OPTIONS_H_
--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -21,8 +21,9 @@
 // Bytes that the parser may leave unread, such as a chunk's header or a trailer
 // without an end.
 constexpr std::size_t kLongestUnparsed = 65536;
-// Bytes that the network holds back for longer than this are taken for lost.
-constexpr int kUnsentTimeoutMs = 2500;
+// The system ends a connection of its own accord only after this host had time
+// to reset it.
+constexpr Duration kSystemReserve = std::chrono::milliseconds(600);
 // A server that is lost while it works on a request sends nothing, as a busy
 // one does; probes tell the two apart.
 constexpr int kProbes = 2;
@@ -51,13 +52,22 @@
   return std::clamp(stated, std::chrono::milliseconds(0), kLongestIdle);
 }
 
+auto Now() -> Instant {
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& io,
                                    asio::ip::tcp::endpoint endpoint,
-                                   std::string attempt_id_header)
+                                   std::string attempt_id_header,
+                                   Duration undelivered_limit)
     : socket_(io),
       connect_timer_(io),
+      delivery_timer_(io),
+      delivery_(undelivered_limit),
+      undelivered_limit_(undelivered_limit),
       endpoint_(std::move(endpoint)),
       attempt_id_header_(std::move(attempt_id_header)) {}
 
@@ -102,7 +112,11 @@
         self->connected_ = true;
         boost::system::error_code ignored;
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-        LimitUnacknowledged(self->socket_.native_handle(), kUnsentTimeoutMs);
+        LimitUnacknowledged(
+            self->socket_.native_handle(),
+            static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(
+                                 self->undelivered_limit_ + kSystemReserve)
+                                 .count()));
         ProbeSilentPeer(self->socket_.native_handle(), kProbes);
         self->WriteRequest();
         self->ReadMore();
@@ -111,6 +125,8 @@
 
 auto ServerConnection::WriteRequest() -> void {
   sent_ = true;
+  delivery_.Begin(Now());
+  WatchDelivery();
   asio::async_write(
       socket_, asio::buffer(request_),
       [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
@@ -122,6 +138,26 @@
       });
 }
 
+auto ServerConnection::WatchDelivery() -> void {
+  delivery_timer_.expires_after(delivery_.UntilNextLook(Now()));
+  delivery_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code ec) {
+        if (ec || !self->usable_ || self->exchange_ == nullptr) {
+          return;
+        }
+        const std::size_t undelivered = self->Undelivered();
+        if (self->delivery_.IsStalled(Now(), undelivered)) {
+          self->End(ExchangeEnd::kBroken);
+        } else if (undelivered > 0 || !self->written_) {
+          self->WatchDelivery();
+        }
+      });
+}
+
+auto ServerConnection::Undelivered() -> std::size_t {
+  return UnacknowledgedBytes(socket_.native_handle()).value_or(0);
+}
+
 auto ServerConnection::ReadMore() -> void {
   if (reading_ || !usable_ || paused_) {
     return;
@@ -219,7 +255,11 @@
   const bool reusable = parser_->keep_alive() && written_ &&
                         buffer_.size() == 0 && !parser_->need_eof();
   idle_until_ = std::chrono::steady_clock::now() + IdleTime(head);
+  delivery_timer_.cancel();
   if (!reusable) {
+    if (!written_ || Undelivered() > 0) {
+      DropUnsentOnClose(socket_.native_handle());
+    }
     Close();
   }
   parser_.reset();
@@ -289,6 +329,7 @@
   usable_ = false;
   boost::system::error_code ignored;
   connect_timer_.cancel();
+  delivery_timer_.cancel();
   socket_.close(ignored);
 }
 
--- a/src/libzinniastep/traffic/server_connection.h
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -18,6 +18,7 @@
 
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/traffic/caller_connection.h"
+#include "libzinniastep/traffic/delivery_watch.h"
 
 namespace zinniastep {
 
@@ -50,10 +51,13 @@
 // does not belong to the answer. Used on the traffic thread only.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
-  // `attempt_id_header` is the name of the header that answers echo.
+  // `attempt_id_header` is the name of the header that answers echo. The
+  // connection is reset when the server takes no byte of a request for
+  // `undelivered_limit`.
   ServerConnection(boost::asio::io_context& io,
                    boost::asio::ip::tcp::endpoint endpoint,
-                   std::string attempt_id_header);
+                   std::string attempt_id_header,
+                   Duration undelivered_limit);
 
   // Sends a request, after connecting if need be. The exchange must stay until
   // its end or a cancellation.
@@ -85,6 +89,10 @@
 
   auto Connect(Duration timeout) -> void;
   auto WriteRequest() -> void;
+  // Looks again and again until the request is delivered.
+  auto WatchDelivery() -> void;
+  // Bytes of the request that the server has not taken, as far as known.
+  [[nodiscard]] auto Undelivered() -> std::size_t;
   auto ReadMore() -> void;
   auto OnBytes() -> void;
   auto OnReadEnd(bool clean) -> void;
@@ -96,6 +104,9 @@
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
+  boost::asio::steady_timer delivery_timer_;
+  DeliveryWatch delivery_;
+  Duration undelivered_limit_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::string attempt_id_header_;
   boost::beast::flat_buffer buffer_;
--- a/src/libzinniastep/traffic/server_pool.cc
+++ b/src/libzinniastep/traffic/server_pool.cc
@@ -8,8 +8,11 @@
 namespace zinniastep {
 
 ServerPool::ServerPool(boost::asio::io_context& io,
-                       std::string attempt_id_header)
-    : io_(io), attempt_id_header_(std::move(attempt_id_header)) {}
+                       std::string attempt_id_header,
+                       Duration undelivered_limit)
+    : io_(io),
+      attempt_id_header_(std::move(attempt_id_header)),
+      undelivered_limit_(undelivered_limit) {}
 
 auto ServerPool::Take(const std::string& address, Reuse reuse)
     -> std::shared_ptr<ServerConnection> {
@@ -31,7 +34,8 @@
     return nullptr;
   }
   ++opened_;
-  return std::make_shared<ServerConnection>(io_, *endpoint, attempt_id_header_);
+  return std::make_shared<ServerConnection>(io_, *endpoint, attempt_id_header_,
+                                            undelivered_limit_);
 }
 
 auto ServerPool::Return(const std::string& address,
--- a/src/libzinniastep/traffic/server_pool.h
+++ b/src/libzinniastep/traffic/server_pool.h
@@ -23,7 +23,11 @@
 // Connections to backend servers that wait for their next request.
 class ServerPool {
  public:
-  ServerPool(boost::asio::io_context& io, std::string attempt_id_header);
+  // Requests that a server does not take are dropped after
+  // `undelivered_limit`.
+  ServerPool(boost::asio::io_context& io,
+             std::string attempt_id_header,
+             Duration undelivered_limit);
 
   // Returns a connection to a numeric "address:port", or null for a malformed
   // one.
@@ -43,6 +47,7 @@
  private:
   boost::asio::io_context& io_;
   std::string attempt_id_header_;
+  Duration undelivered_limit_;
   std::map<std::string, std::vector<std::shared_ptr<ServerConnection>>> idle_;
   std::uint64_t opened_ = 0;
 };
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "libzinniastep/traffic/delivery_watch.h"
 #include "libzinniastep/traffic/forwarder.h"
 
 namespace zinniastep {
@@ -30,7 +31,7 @@
       random_(seed),
       view_(std::make_shared<TrafficView>()),
       chooser_(settings.host, settings.domain, settings.region),
-      pool_(io, headers_.attempt_id) {}
+      pool_(io, headers_.attempt_id, UndeliveredLimit(settings.leaving_time)) {}
 
 TrafficEngine::~TrafficEngine() {
   // A forwarder and its connection keep each other until one of them ends.
