Scrape a gateway's metrics beside requests in a test

Fifty scrapes follow each other while a caller sends one request after another; each of both must be answered within two seconds, and each page must be one that a strict reader accepts.

--- a/tests/process/gateway_metrics_test.cc
+++ b/tests/process/gateway_metrics_test.cc
@@ -1,10 +1,12 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/process/child_process.h"
@@ -47,14 +49,17 @@
                   seconds(2));
 }
 
+auto Scrape() -> HttpReply {
+  return Exchange("GET", "http://" + Address(7341) + "/", "", {}, seconds(2));
+}
+
 TEST(GatewayMetricsTest, ScrapeNeitherHangsNorHoldsUpRequestsOrTheEnd) {
   const std::string file = WriteTestFile("gateway.json", Settings());
   ChildProcess gateway("../platform/zinniastep-gateway",
                        {"--settings=" + file});
   ASSERT_TRUE(Eventually([] { return SendRequest().complete; }));
 
-  const HttpReply page =
-      Exchange("GET", "http://" + Address(7341) + "/", "", {}, seconds(2));
+  const HttpReply page = Scrape();
   EXPECT_TRUE(page.complete);
   EXPECT_EQ(page.status, 200);
   EXPECT_NE(page.body.find("_seconds_count "), std::string::npos) << page.body;
@@ -69,5 +74,29 @@
   EXPECT_EQ(gateway.Wait(seconds(5)), 0);
 }
 
+TEST(GatewayMetricsTest, EachScrapeBesideRequestsIsAnswered) {
+  constexpr int kScrapes = 50;
+  const std::string file = WriteTestFile("gateway.json", Settings());
+  const ChildProcess gateway("../platform/zinniastep-gateway",
+                             {"--settings=" + file});
+  ASSERT_TRUE(Eventually([] { return SendRequest().complete; }));
+
+  std::atomic<bool> scraping = true;
+  int unanswered = 0;
+  std::thread caller([&] {
+    do {
+      unanswered += SendRequest().complete ? 0 : 1;
+    } while (scraping);
+  });
+  for (int i = 0; i < kScrapes; ++i) {
+    const HttpReply page = Scrape();
+    EXPECT_TRUE(page.complete);
+    EXPECT_EQ(ExpositionPage(page.body).findings(), std::vector<std::string>());
+  }
+  scraping = false;
+  caller.join();
+  EXPECT_EQ(unanswered, 0);
+}
+
 }  // namespace
 }  // namespace zinniastep::testing
