Wait for the server that a request was taken from

What callers saw: a stream whose server was silent before its answer was moved to another server; that one declined, the first one could not take it again at that moment (its cold limit), and the caller got 502 after an eighth of the target latency, with most of its time left.

Cause: WaitForServer() waits until the deadline only when the answer has begun. A request that this host took from a sound server before its answer gave up after the short wait that is meant for requests that no server has.

Change: a request that may return to a server that it left waits until its deadline too, as long as a listed server may serve it.

Evidence: SilentServer.ARequestThatWasMovedWaitsForTheServerThatItLeft failed before with "answer.status Which is: 502". silent_server_test (10), forwarding_test (24) and slow_caller_test (1) pass.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -245,11 +245,12 @@
 
 auto Forwarder::WaitForServer() -> void {
   const Instant now = engine_.Now();
-  // A late answer that has begun is worth more to its caller than a broken one.
+  // A late answer that has begun is worth more to its caller than a broken one,
+  // and one whose server this host left is worth more than none.
   // Without any server to wait for, the caller's own retry has more to choose
   // from, since this request uses no server twice.
   const bool may_be_late =
-      answer_begun_ &&
+      (answer_begun_ || progress_.may_return) &&
       engine_.chooser().reason() != NoServerReason::kNoEligibleServer;
   const Duration longest =
       may_be_late ? progress_.deadline - no_server_since_
--- a/tests/traffic/silent_server_test.cc
+++ b/tests/traffic/silent_server_test.cc
@@ -2,6 +2,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -178,6 +179,41 @@
   EXPECT_EQ(answer.body, WholeStream());
 }
 
+TEST(SilentServer, ARequestThatWasMovedWaitsForTheServerThatItLeft) {
+  const auto now = [] {
+    return Instant(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  };
+  bool is_repeat = false;
+  const ScriptedServer first([&](const std::string&) {
+    ScriptedAnswer answer{StreamHead() + Events(1, 4) + kLastChunk};
+    if (!std::exchange(is_repeat, true)) {
+      answer.rest = std::exchange(answer.bytes, {});
+      answer.rest_after = kSilence;
+    }
+    return answer;
+  });
+  const ScriptedServer second([](const std::string& request) {
+    ScriptedAnswer answer;
+    answer.rest = Declined(request).bytes;
+    answer.rest_after = std::chrono::milliseconds(300);
+    return answer;
+  });
+  EngineHost host({&first});
+  std::thread lister([&] {
+    EXPECT_TRUE(Eventually([&] { return first.requests().size() == 1; }));
+    host.ListServers({{first.address(), second.address()}});
+    EXPECT_TRUE(Eventually([&] { return second.requests().size() == 1; }));
+    host.ChangeView([&](TrafficView& view) {
+      view.backends[0].cold_until = now() + std::chrono::milliseconds(1000);
+    });
+  });
+  const CallerAnswer answer = host.Call(EngineHost::Request("/stall/"));
+  lister.join();
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, WholeStream());
+}
+
 TEST(SilentServer, AWeakAnswerIsNotDroppedWithoutAnotherServer) {
   const ScriptedServer server([](const std::string&) {
     ScriptedAnswer answer;
