Take the request's text and the clocks of a send out of Forwarder

Change: ForwardedRequestText() writes the bytes that a server gets, SendClocks measures one send.

Evidence: silent_server, view_change, slow_caller, stale_answer, broken_stream, undelivered_bytes, forwarding and rollout_guard tests pass (10, 16, 1, 5, 6, 8, 24, 14).

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -9,6 +9,7 @@
 #include "libzinniastep/base/hash.h"
 #include "libzinniastep/base/overloaded.h"
 #include "libzinniastep/gateway/model_choice.h"
+#include "libzinniastep/traffic/forwarded_request.h"
 #include "libzinniastep/traffic/http_text.h"
 #include "libzinniastep/traffic/traffic_engine.h"
 
@@ -42,9 +43,6 @@
 // part saves and what a prompt is expected to take.
 constexpr double kPromptTokensPerMs = 20.0;
 constexpr double kFirstEventMs = 40.0;
-// Events after the first one by which the pace of a stream is measured.
-constexpr std::uint64_t kPaceEvents = 4;
-constexpr double kEventGapMs = 40.0;
 // Refused callers return after this, at random, so that they do not return
 // together.
 constexpr Duration kLeastReturn = std::chrono::milliseconds(200);
@@ -83,7 +81,8 @@
     : engine_(engine),
       caller_(std::move(caller)),
       request_(std::move(request)),
-      timer_(engine.io()) {}
+      timer_(engine.io()),
+      clocks_(engine.answer_clock()) {}
 
 auto Forwarder::Header(std::string_view name) const -> std::string_view {
   return HeaderValue(request_, name).value_or(std::string_view());
@@ -275,51 +274,24 @@
   TakeStep(answer_begun_ ? NextStep(AbortAnswer{}) : NextStep(ReportUnknown{}));
 }
 
-auto Forwarder::RequestText(const UsableBackend& backend) -> std::string {
-  const ForwardingHeaders& names = engine_.headers();
-  http::request_header<> head;
-  head.method_string(request_.method_string());
-  head.target(request_.target());
-  head.version(11);
-  for (const auto& field : request_) {
-    const std::string_view name = ToView(field.name_string());
-    const bool is_reserved = std::ranges::any_of(
-        names.reserved,
-        [name](const std::string& known) { return SameName(known, name); });
-    if (is_reserved || IsHopByHop(request_, name) ||
-        SameName(name, "Content-Length") || SameName(name, "Authorization") ||
-        SameName(name, names.time_remaining) ||
-        (names_model_ && SameName(name, names.model)) ||
-        (last_event_.has_value() && SameName(name, names.last_event_id))) {
-      continue;
-    }
-    head.insert(field.name_string(), field.value());
-  }
-  const auto set = [&head](const std::string& name, std::string_view value) {
-    head.set(name, FromView(value));
-  };
-  set(names.time_remaining, std::to_string(Milliseconds(TimeLeft())));
-  set(names.expected_server, backend.entry.id.text());
+auto Forwarder::RequestText(const UsableBackend& backend) const -> std::string {
+  ForwardedFields fields;
+  fields.time_left = TimeLeft();
+  fields.expected_server = backend.entry.id.text();
   if (account_ != nullptr) {
-    set(names.account, account_->id.text());
+    fields.account = account_->id.text();
   }
   if (names_model_) {
-    set(names.model, route_->models[model_]);
-  }
-  if (last_event_.has_value()) {
-    set(names.last_event_id, std::to_string(*last_event_));
+    fields.model = route_->models[model_];
   }
+  fields.last_event = last_event_;
   if (prompt_.prompt_tokens > 0.0) {
-    const std::uint32_t priority =
-        account_ != nullptr && account_->priority.has_value()
-            ? *account_->priority
-            : route_->priority;
-    set(names.urgency, std::to_string(EngineUrgency(priority)));
+    fields.urgency =
+        EngineUrgency(account_ != nullptr && account_->priority.has_value()
+                          ? *account_->priority
+                          : route_->priority);
   }
-  if (!request_.body().empty() || Header("Content-Length") == "0") {
-    set("Content-Length", std::to_string(request_.body().size()));
-  }
-  return HeadText(head) + request_.body();
+  return ForwardedRequestText(request_, engine_.headers(), fields);
 }
 
 auto Forwarder::Send(const UsableBackend& backend) -> void {
@@ -353,10 +325,8 @@
   body_.clear();
   events_.Reset();
   engine_.chooser().OnBegin(server_->id);
-  events_of_send_ = 0;
-  pace_id_ = 0;
-  clock_id_ = engine_.answer_clock().Begin(
-      sent_at_, {service_, server_->version, route_->name}, ExpectedDelay());
+  clocks_.Begin(sent_at_, {service_, server_->version, route_->name},
+                ExpectedDelay());
   engine_.Log({"request_sent",
                {{"request", attempt_id_},
                 {"route", route_->name},
@@ -391,7 +361,7 @@
                        PromisesNotRun(status));
   server_failed_ = !not_run_ && (status >= 500 || PromisesNotRun(status));
   if (!not_run_ && !server_failed_) {
-    engine_.answer_clock().OnAnswer(now, clock_id_);
+    clocks_.OnHead(now);
   }
   answer_bytes_ = 0;
   const auto type = HeaderValue(head, "Content-Type");
@@ -532,7 +502,7 @@
     }
     if (event->has_data && !event->id.has_value()) {
       // Another server could not tell where to go on.
-      if (events_of_send_ < events_passed_) {
+      if (clocks_.events() < events_passed_) {
         EndUnnumberedStream();
         return;
       }
@@ -549,7 +519,7 @@
     }
     caller_->Write(event->text);
     ++events_passed_;
-    ClockPace();
+    clocks_.OnEvent(last_bytes_);
     if (event->id.has_value()) {
       last_event_ = event->id;
     }
@@ -624,7 +594,7 @@
 
 auto Forwarder::FinishAttempt(SendOutcome outcome) -> void {
   const Instant now = engine_.Now();
-  EndAnswerClock(now, outcome == SendOutcome::kSilent);
+  EndClocks(now, outcome == SendOutcome::kSilent);
   engine_.chooser().OnEnd(now, server_->id);
   engine_.chooser().OnOutcome(now, server_->id, outcome);
   if (connection_ != nullptr) {
@@ -737,7 +707,7 @@
     return;
   }
   if (server_.has_value()) {
-    EndAnswerClock(engine_.Now(), true);
+    EndClocks(engine_.Now(), true);
     engine_.chooser().OnEnd(engine_.Now(), server_->id);
     connection_->Cancel();
     connection_ = nullptr;
@@ -889,27 +859,12 @@
           kFirstEventMs + prompt_.prompt_tokens / kPromptTokensPerMs));
 }
 
-auto Forwarder::ClockPace() -> void {
-  ++events_of_send_;
-  if (events_of_send_ == 1) {
-    pace_id_ = engine_.answer_clock().Begin(
-        last_bytes_,
-        {service_, server_->version, route_->name + std::string(kPaceSuffix)},
-        std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(kEventGapMs *
-                                                      kPaceEvents)));
-  } else if (events_of_send_ == 1 + kPaceEvents) {
-    engine_.answer_clock().OnAnswer(last_bytes_, pace_id_);
-  }
-}
-
-auto Forwarder::EndAnswerClock(Instant now, bool was_given_up) -> void {
+auto Forwarder::EndClocks(Instant now, bool was_given_up) -> void {
   // A server that was not heard of since may be cut off rather than slow.
   const bool was_slow = was_given_up && !engine_.chooser().IsSilent(
                                             now, server_->id, now - sent_at_);
-  engine_.answer_clock().OnEnd(
-      now, clock_id_,
-      was_slow ? UnansweredEnd::kTooSlow : UnansweredEnd::kNoEvidence);
+  clocks_.End(now,
+              was_slow ? UnansweredEnd::kTooSlow : UnansweredEnd::kNoEvidence);
 }
 
 auto Forwarder::Over(std::string_view outcome, unsigned status) -> void {
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -11,9 +11,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "libzinniastep/base/time.h"
-#include "libzinniastep/gateway/answer_clock.h"
 #include "libzinniastep/gateway/forward_decision.h"
 #include "libzinniastep/gateway/prompt_shape.h"
+#include "libzinniastep/gateway/send_clocks.h"
 #include "libzinniastep/gateway/server_chooser.h"
 #include "libzinniastep/gateway/traffic_policy.h"
 #include "libzinniastep/traffic/caller_connection.h"
@@ -56,7 +56,8 @@
   auto Dispatch() -> void;
   auto WaitForServer() -> void;
   auto Send(const UsableBackend& backend) -> void;
-  auto RequestText(const UsableBackend& backend) -> std::string;
+  [[nodiscard]] auto RequestText(const UsableBackend& backend) const
+      -> std::string;
   auto OnAttemptOver(SendOutcome outcome) -> void;
   auto FinishAttempt(SendOutcome outcome) -> void;
   auto TakeStep(const NextStep& step) -> void;
@@ -83,10 +84,8 @@
   auto CountEvidence(bool failed) -> void;
   // Time until the answer of an unloaded server begins.
   [[nodiscard]] auto ExpectedDelay() const -> Duration;
-  // Measures the time between the first events of a stream.
-  auto ClockPace() -> void;
   // Ends the measurements of the send under way that still wait.
-  auto EndAnswerClock(Instant now, bool was_given_up) -> void;
+  auto EndClocks(Instant now, bool was_given_up) -> void;
   [[nodiscard]] auto Header(std::string_view name) const -> std::string_view;
   [[nodiscard]] auto TimeLeft() const -> Duration;
 
@@ -124,9 +123,7 @@
   std::shared_ptr<ServerConnection> connection_;
   Instant sent_at_;
   std::optional<Instant> head_at_;
-  AnswerClock::SendId clock_id_ = 0;
-  AnswerClock::SendId pace_id_ = 0;
-  std::uint64_t events_of_send_ = 0;
+  SendClocks clocks_;
   Instant last_bytes_;
   // When a whole event came last, or the request was sent.
   Instant last_event_at_;
