Let probes not end a connection whose request is undelivered

What callers saw: on cut-heals a request reaches a leaving server up to 3,992 ms after the leaving was acknowledged (bound 2,500), about 3 s after the cut heals, also one whose caller has its whole answer from another server (DRAIN).

Cause: probes ran on idle connections. A cut connection was ended by the system 3 s after the cut began (ETIMEDOUT, seen at 12.389 s for a cut at 9.389 s), also when a request had just gone out on it. An end by the system is no reset, and closing the socket after it sends none, so the bytes that the cut held were still delivered. Each traced break has a request that moves to the next server, or breaks off, at that moment.

Fix: probes run only while a delivered request waits for its answer. Idle connections are not probed (they are dropped after 4 s), and while a request is undelivered DeliveryWatch resets the connection itself.

Evidence: undelivered_bytes_test, 11 tests pass; on AreNotLeftBehindByProbes failed (IsProbed true, expected false). The test of the idle connection was not run on the old code. forwarding_test (24) and silent_server_test (9) pass.

--- a/src/libzinniastep/runtime/socket_options.cc
+++ b/src/libzinniastep/runtime/socket_options.cc
@@ -26,6 +26,10 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
 
+auto StopProbes(int socket) -> void {
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 0);
+}
+
 auto LimitUnacknowledged(int socket, int milliseconds) -> void {
   SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds);
 }
--- a/src/libzinniastep/runtime/socket_options.h
+++ b/src/libzinniastep/runtime/socket_options.h
@@ -14,6 +14,10 @@
 // that reaches it.
 auto ProbeSilentPeer(int socket, int probes) -> void;
 
+// Stops probing. A connection that probes end is not reset, so the network may
+// still deliver bytes that it holds back.
+auto StopProbes(int socket) -> void;
+
 // Ends the connection when bytes stay unacknowledged for this long, in
 // milliseconds.
 auto LimitUnacknowledged(int socket, int milliseconds) -> void;
--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -117,7 +117,6 @@
             static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(
                                  self->undelivered_limit_ + kSystemReserve)
                                  .count()));
-        ProbeSilentPeer(self->socket_.native_handle(), kProbes);
         self->WriteRequest();
         self->ReadMore();
       });
@@ -125,6 +124,7 @@
 
 auto ServerConnection::WriteRequest() -> void {
   sent_ = true;
+  StopProbes(socket_.native_handle());
   delivery_.Begin(Now());
   WatchDelivery();
   asio::async_write(
@@ -150,6 +150,8 @@
           self->End(ExchangeEnd::kBroken);
         } else if (undelivered > 0 || !self->written_) {
           self->WatchDelivery();
+        } else {
+          ProbeSilentPeer(self->socket_.native_handle(), kProbes);
         }
       });
 }
@@ -261,6 +263,9 @@
       DropUnsentOnClose(socket_.native_handle());
     }
     Close();
+  } else {
+    // Probes must not end the connection while the next request goes out.
+    StopProbes(socket_.native_handle());
   }
   parser_.reset();
   End(ExchangeEnd::kWhole);
--- a/tests/traffic/undelivered_bytes_test.cc
+++ b/tests/traffic/undelivered_bytes_test.cc
@@ -1,3 +1,4 @@
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -26,6 +27,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBodySize = 8UL << 20U;
+constexpr int kMostDescriptors = 1024;
 constexpr Duration kLimit = milliseconds(400);
 constexpr std::string_view kAnswer =
     "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
@@ -64,6 +66,24 @@
     acceptor_.accept(peer_);
   }
 
+  // Whether the system probes the connection under test.
+  auto IsProbed() -> bool {
+    const auto port = acceptor_.local_endpoint().port();
+    for (int socket = 0; socket < kMostDescriptors; ++socket) {
+      sockaddr_in peer{};
+      socklen_t size = sizeof peer;
+      if (getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0 &&
+          ntohs(peer.sin_port) == port) {
+        int value = 0;
+        size = sizeof value;
+        getsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &value, &size);
+        return value != 0;
+      }
+    }
+    ADD_FAILURE() << "no connection";
+    return false;
+  }
+
   // Reads all that still comes; returns its size and how the stream ends.
   auto ReadRest() -> std::pair<std::size_t, boost::system::error_code> {
     std::size_t size = 0;
@@ -134,6 +154,37 @@
   io_.run_for(milliseconds(20));
 }
 
+// A connection that the system's probes end is not reset.
+TEST_F(UndeliveredBytes, AreNotLeftBehindByProbes) {
+  SendLongRequest();
+  EXPECT_FALSE(IsProbed());
+  connection_->Cancel();
+  io_.run_for(milliseconds(20));
+}
+
+TEST_F(UndeliveredBytes, NoneAreLeftWhenProbesBegin) {
+  connection_->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", "a1",
+                    milliseconds(1000), exchange_);
+  io_.run_for(kLimit);
+  EXPECT_TRUE(IsProbed());
+  connection_->Cancel();
+  io_.run_for(milliseconds(20));
+}
+
+TEST_F(UndeliveredBytes, AreNotLeftBehindByProbesOfAnIdleConnection) {
+  connection_->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", "a1",
+                    milliseconds(1000), exchange_);
+  io_.run_for(kLimit);
+  acceptor_.accept(peer_);
+  asio::write(peer_, asio::buffer(kAnswer));
+  io_.run_for(milliseconds(50));
+  ASSERT_EQ(exchange_->end(), ExchangeEnd::kWhole);
+  connection_->BecomeIdle();
+  EXPECT_FALSE(IsProbed());
+  connection_->Cancel();
+  io_.run_for(milliseconds(20));
+}
+
 TEST(UndeliveredLimit, LeavesTimeForTheNewsOfALeavingServer) {
   EXPECT_EQ(UndeliveredLimit(milliseconds(2500)), milliseconds(1900));
   EXPECT_LT(UndeliveredLimit(milliseconds(1500)), milliseconds(1500));
