Compare several delays of a version, not only the unusual one

Cause: the target was tested against one delay, the step that at most a twentieth of the others exceed.

Change: each delay that at most half of the others exceed is tested, with a slow version assumed to exceed it in half of the requests that the others answer sooner. The largest odds count if they speak against the target, less a margin since several delays are looked at; whether a version is sound is still decided by the unusual delay.

--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -51,12 +51,21 @@
 constexpr double kSlowLogRatio = 0.9;
 constexpr std::uint64_t kMinTimedAnswers = 12;
 
-// Sends of the other versions that are needed to tell which delay is unusual,
-// the share of them that may be longer than that, and the share for a version
-// that is slow in half of its requests.
+// Sends of the other versions that are needed to tell which delays are usual,
+// and the share of them that may exceed a delay that counts as unusual.
 constexpr std::uint32_t kMinJudgedSends = 20;
 constexpr double kUsualSlowRate = 0.05;
-constexpr double kFaultySlowRate = 0.5;
+// A slow version exceeds a delay in this part of the requests that the others
+// answer sooner.
+constexpr double kFaultySlowPart = 0.5;
+// Odds of a delay that many of the others exceed speak against the target only
+// from here on.
+constexpr double kSuspectLogOdds = 3.0;
+// Subtracted from the largest odds of several delays, any of which may exceed
+// the bound by chance.
+constexpr double kSeveralDelaysLogOdds = 2.0;
+// Delays that most sends of the others exceed tell little.
+constexpr double kMaxComparedRate = 0.5;
 // Logarithm of the odds of slow answers at or below which a route counts as
 // sound.
 constexpr double kSoundSlowLogOdds = -2.0;
@@ -83,22 +92,34 @@
 
 enum class OpenSends : std::uint8_t { kLeftOut, kIncluded };
 
-// Returns the logarithm of the odds that the target exceeds a delay that is
-// unusual for the other versions; nothing if they do not show which one is.
+// Returns the logarithm of the odds that the target is slower than the others,
+// by the delay that is unusual for these and, if they speak against the target,
+// by the delays that more of the others exceed. Nothing if the others do not
+// show what is usual.
 auto SlowLogOdds(const VersionCounts& target,
                  const VersionCounts& others,
                  OpenSends open_sends) -> std::optional<double> {
+  double largest = 0.0;
   for (std::size_t step = 0; step < kDelaySteps; ++step) {
     const std::uint32_t judged = others.slower[step] + others.faster[step];
     if (judged < kMinJudgedSends) {
       return std::nullopt;
     }
-    if (others.slower[step] <= kUsualSlowRate * judged) {
-      const std::uint32_t slower =
-          target.slower[step] +
-          (open_sends == OpenSends::kIncluded ? target.waiting[step] : 0);
-      return LogOdds(slower, target.faster[step], kFaultySlowRate,
-                     kUsualSlowRate);
+    const double rate = std::max(
+        static_cast<double>(others.slower[step]) / judged, kUsualSlowRate);
+    if (rate > kMaxComparedRate) {
+      continue;
+    }
+    const std::uint32_t slower =
+        target.slower[step] +
+        (open_sends == OpenSends::kIncluded ? target.waiting[step] : 0);
+    const double odds = LogOdds(slower, target.faster[step],
+                                rate + (1.0 - rate) * kFaultySlowPart, rate);
+    largest = std::max(largest, odds);
+    if (rate <= kUsualSlowRate) {
+      return largest > kSuspectLogOdds
+                 ? std::max(odds, largest - kSeveralDelaysLogOdds)
+                 : odds;
     }
   }
   return std::nullopt;
--- a/tests/gateway/rollout_guard_test.cc
+++ b/tests/gateway/rollout_guard_test.cc
@@ -265,6 +265,20 @@
   EXPECT_GE(completed, 195);
 }
 
+TEST(RolloutGuard, AVersionAtAThirdOfThePaceIsFoundAmongWidelySpreadPaces) {
+  VersionEvidence evidence;
+  VersionCounts& others = evidence[{ServiceId("pool"), "v1", "a#pace"}];
+  others.slower = {80, 49, 34, 6, 2, 0, 0};
+  others.faster = {117, 148, 163, 191, 195, 197, 197};
+  VersionCounts& target = evidence[{ServiceId("pool"), "v2", "a#pace"}];
+  target.slower = {12, 12, 1, 0, 0, 0, 0};
+  target.faster = {0, 0, 11, 12, 12, 12, 12};
+  EXPECT_EQ(FindVersionFault(evidence, ServiceId("pool"), "v2"), "slow");
+  target.slower = {6, 4, 2, 0, 0, 0, 0};
+  target.faster = {6, 8, 10, 12, 12, 12, 12};
+  EXPECT_EQ(FindVersionFault(evidence, ServiceId("pool"), "v2"), std::nullopt);
+}
+
 TEST(RolloutGuard, ARestartedHostAdoptsItsPeersProgress) {
   RolloutGuard peer;
   peer.Update(At(0), {Order()});
