Move a request to no more servers than its route allows

Cause: a server that was left may be asked again, which lifts the limit on attempts. LeaveServer() asked with that permission whether a server that was not used yet may be chosen, so each move after the first was free of the limit.

Change: the state after leaving a server carries no such permission; it is set again once the move is made, for the return alone.

Evidence: AStreamReachesNoMoreServersThanItsRouteAllows failed before (5 servers reached, 3 allowed), AServerThatMayBeAskedAgainAllowsNoFurtherServer failed before (no obstacle). After: silent_server_test 11 of 11, forward_decision_test 13 of 13, forwarding_test 24 of 24.

Why tests missed it: the tests of attempts had one move, and the one with attempts used up allowed a single server.

--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -135,6 +135,8 @@
   ForwardProgress after = progress;
   after.servers_used += 1;
   after.may_have_run = true;
+  // Only a send to a server that was left may exceed the attempts.
+  after.may_return = false;
   return after;
 }
 
--- a/src/libzinniastep/gateway/forward_decision.h
+++ b/src/libzinniastep/gateway/forward_decision.h
@@ -120,8 +120,8 @@
 
 [[nodiscard]] auto ToString(Overdue overdue) -> std::string_view;
 
-// Returns the state of the request if the send under way is given up for
-// another server now.
+// Returns the state of the request if the send under way is given up for a
+// server that was not used yet.
 [[nodiscard]] auto AfterLeavingServer(const ForwardProgress& progress)
     -> ForwardProgress;
 
--- a/tests/gateway/forward_decision_test.cc
+++ b/tests/gateway/forward_decision_test.cc
@@ -100,6 +100,15 @@
             GiveUpReason::kNotRepeatable);
 }
 
+TEST(ForwardDecision, AServerThatMayBeAskedAgainAllowsNoFurtherServer) {
+  ForwardProgress progress = After(SendOutcome::kNotSent);
+  progress.resumable = true;
+  progress.may_return = true;
+  progress.servers_used = progress.most_servers - 1;
+  EXPECT_EQ(RetryObstacle(At(0), AfterLeavingServer(progress), true),
+            GiveUpReason::kAttemptsUsed);
+}
+
 TEST(ForwardDecision, TwoAnswersAreNeverJoined) {
   for (const SendOutcome outcome : kFailures) {
     ForwardProgress progress = After(outcome);
--- a/tests/traffic/silent_server_test.cc
+++ b/tests/traffic/silent_server_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -124,6 +125,26 @@
   EXPECT_EQ(HeaderOf(second.requests()[0], "Last-Event-Id"), "2");
 }
 
+TEST(SilentServer, AStreamReachesNoMoreServersThanItsRouteAllows) {
+  const auto never = [](const std::string&) {
+    return ScriptedAnswer{"", false, true};
+  };
+  const ScriptedServer servers[] = {
+      ScriptedServer(never), ScriptedServer(never), ScriptedServer(never),
+      ScriptedServer(never), ScriptedServer(never)};
+  std::vector<const ScriptedServer*> all;
+  for (const ScriptedServer& server : servers) {
+    all.push_back(&server);
+  }
+  EngineHost host(all);
+  host.CallUntil(EngineHost::Request("/stall/"), std::chrono::seconds(9));
+  std::size_t reached = 0;
+  for (const ScriptedServer* server : all) {
+    reached += server->requests().empty() ? 0 : 1;
+  }
+  EXPECT_EQ(reached, 3U);
+}
+
 TEST(SilentServer, AStreamThatHasNotBegunIsNotGivenUpWithoutAnotherServer) {
   const ScriptedServer server([](const std::string&) {
     ScriptedAnswer answer;
