Count an answer as whole only if its head is

What callers saw: a server or a store that closed in the middle of its answer's head was taken for one that answered 200 with an empty body. zinniastepd passed that on as whole, a write to the store counted as done, zinniastepctl printed it, and the load tool counted a success.

Cause: HttpLoop and HttpClient took libcurl's success for the end of an answer. libcurl 7.88.1 reports success when a connection ends within a head, after the status line. Of two lengths that contradict each other it takes the last, and it hands trailers and the headers of interim answers to the same callback, so that they replaced the answer's own.

Change: HeadReader takes the lines of the head. It is whole at the empty line that ends the final head; an exchange without one is not complete and has no status. Trailers and interim headers are dropped, and two different lengths make the head invalid. Both clients use it, and so does the client of the tests, which trusted libcurl in the same way.

--- /dev/null
+++ b/src/libzinniastep/runtime/head_reader.h
@@ -0,0 +1,45 @@
+#ifndef LIBZINNIASTEP_RUNTIME_HEAD_READER_H_
+#define LIBZINNIASTEP_RUNTIME_HEAD_READER_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace zinniastep {
+
+// Error of an exchange whose answer has no whole head.
+inline constexpr const char* kBrokenHead =
+    "the head of the answer broke off or contradicts itself";
+
+// Reads the head of an HTTP/1.1 answer line by line, as libcurl's header
+// callback delivers it, and tells whether it is whole. libcurl 7.88.1 reports
+// success when the connection ends within a head.
+class HeadReader {
+ public:
+  // Takes one line with its line break. Interim answers (1xx) before the final
+  // head are dropped, and so are lines after it, which are trailers.
+  auto TakeLine(std::string_view line) -> void;
+
+  // Whether the final head ended with an empty line and states no more than
+  // one length.
+  [[nodiscard]] auto is_whole() const -> bool {
+    return is_whole_ && !has_two_lengths_;
+  }
+
+  // Header names in lower case, and values without surrounding spaces. Of a
+  // repeated header the last value counts.
+  [[nodiscard]] auto headers() const
+      -> const std::map<std::string, std::string>& {
+    return headers_;
+  }
+
+ private:
+  std::map<std::string, std::string> headers_;
+  bool is_interim_ = false;
+  bool is_whole_ = false;
+  bool has_two_lengths_ = false;
+};
+
+}  // namespace zinniastep
+
+#endif  // LIBZINNIASTEP_RUNTIME_HEAD_READER_H_
--- a/src/libzinniastep/runtime/http_client.cc
+++ b/src/libzinniastep/runtime/http_client.cc
@@ -2,13 +2,13 @@
 
 #include <curl/curl.h>
 
-#include <algorithm>
-#include <cctype>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "libzinniastep/runtime/head_reader.h"
+
 namespace zinniastep {
 
 namespace {
@@ -18,6 +18,7 @@
 
 struct Receiver {
   HttpResult result;
+  HeadReader head;
   std::size_t longest_body = 0;
 };
 
@@ -34,20 +35,7 @@
 auto TakeHeader(char* bytes, std::size_t size, std::size_t count, void* user)
     -> std::size_t {
   auto& receiver = *static_cast<Receiver*>(user);
-  const std::string_view line(bytes, size * count);
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    std::string name(line.substr(0, colon));
-    std::ranges::transform(name, name.begin(), [](unsigned char c) {
-      return static_cast<char>(std::tolower(c));
-    });
-    const std::size_t first = line.find_first_not_of(" \t", colon + 1);
-    const std::size_t last = line.find_last_not_of(" \t\r\n");
-    receiver.result.headers[name] =
-        first == std::string_view::npos || last < first
-            ? std::string()
-            : std::string(line.substr(first, last - first + 1));
-  }
+  receiver.head.TakeLine({bytes, size * count});
   return size * count;
 }
 
@@ -63,7 +51,7 @@
 }
 
 auto HttpClient::Fetch(const HttpRequest& request) const -> HttpResult {
-  Receiver receiver{{}, request.longest_body};
+  Receiver receiver{{}, {}, request.longest_body};
   const Handle handle(curl_easy_init(), &curl_easy_cleanup);
   curl_slist* lines = curl_slist_append(nullptr, "Expect:");
   for (const std::string& header : request.headers) {
@@ -93,10 +81,16 @@
   HttpResult result = std::move(receiver.result);
   long status = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-  result.status = static_cast<std::uint16_t>(status);
+  const bool has_head = receiver.head.is_whole();
+  result.headers = receiver.head.headers();
+  result.status = has_head ? static_cast<std::uint16_t>(status) : 0;
   result.sent = code != CURLE_COULDNT_CONNECT;
-  result.complete = code == CURLE_OK;
-  result.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+  result.complete = code == CURLE_OK && has_head;
+  if (code != CURLE_OK) {
+    result.error = curl_easy_strerror(code);
+  } else if (!has_head) {
+    result.error = kBrokenHead;
+  }
   return result;
 }
 
--- a/src/libzinniastep/runtime/http_loop.cc
+++ b/src/libzinniastep/runtime/http_loop.cc
@@ -3,9 +3,9 @@
 #include <curl/curl.h>
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
+#include "libzinniastep/runtime/head_reader.h"
 #include "libzinniastep/runtime/socket_options.h"
 
 namespace zinniastep {
@@ -40,23 +40,6 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
-auto Trimmed(std::string_view text) -> std::string {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  const auto last = text.find_last_not_of(" \t\r\n");
-  return std::string(text.substr(first, last - first + 1));
-}
-
-auto LowerCase(std::string_view text) -> std::string {
-  std::string lower(text);
-  std::ranges::transform(lower, lower.begin(), [](unsigned char letter) {
-    return static_cast<char>(std::tolower(letter));
-  });
-  return lower;
-}
-
 // Collects an answer whole and hands it to a function.
 class WholeAnswer : public HttpSink {
  public:
@@ -91,6 +74,7 @@
   std::shared_ptr<HttpSink> sink;
   SteadyClock::time_point submitted;
   HttpResult result;
+  HeadReader head;
   bool has_data = false;
   bool paused = false;
   CURL* easy = nullptr;
@@ -137,12 +121,7 @@
                        std::size_t count,
                        void* self) -> std::size_t {
     auto* exchange = static_cast<Exchange*>(self);
-    const std::string_view line(data, size * count);
-    const auto colon = line.find(':');
-    if (colon != std::string_view::npos) {
-      exchange->result.headers[LowerCase(line.substr(0, colon))] =
-          Trimmed(line.substr(colon + 1));
-    }
+    exchange->head.TakeLine({data, size * count});
     return size * count;
   }
 
@@ -324,10 +303,13 @@
   curl_multi_remove_handle(multi_->handle, exchange->easy);
   open_.erase(exchange->id);
   HttpResult& result = exchange->result;
-  result.status = exchange->StatusNow();
-  result.complete = code == CURLE_OK;
-  if (!result.complete) {
+  result.headers = exchange->head.headers();
+  result.status = exchange->head.is_whole() ? exchange->StatusNow() : 0;
+  result.complete = code == CURLE_OK && exchange->head.is_whole();
+  if (code != CURLE_OK) {
     result.error = curl_easy_strerror(static_cast<CURLcode>(code));
+  } else if (!result.complete) {
+    result.error = kBrokenHead;
   }
   result.total = Since(exchange->submitted);
   exchange->sink->OnDone(std::move(result));
--- a/src/libzinniastep/runtime/http_loop.h
+++ b/src/libzinniastep/runtime/http_loop.h
@@ -43,9 +43,10 @@
 struct HttpResult {
   // Whether a byte of the request may have been handed to the socket.
   bool sent = false;
-  // Whether the whole answer came.
+  // Whether the whole answer came, from its status line to its end.
   bool complete = false;
   bool cancelled = false;
+  // Zero if no whole head came.
   std::uint16_t status = 0;
   // Header names in lower case.
   std::map<std::string, std::string> headers;
--- a/tests/process/http_client.cc
+++ b/tests/process/http_client.cc
@@ -2,9 +2,7 @@
 
 #include <curl/curl.h>
 
-#include <algorithm>
-#include <cctype>
-#include <string_view>
+#include "libzinniastep/runtime/head_reader.h"
 
 namespace zinniastep::testing {
 namespace {
@@ -15,19 +13,9 @@
   return size * count;
 }
 
-auto AppendHeader(char* data, std::size_t size, std::size_t count, void* target)
+auto TakeHeader(char* data, std::size_t size, std::size_t count, void* target)
     -> std::size_t {
-  const std::string_view line(data, size * count);
-  const std::size_t colon = line.find(": ");
-  if (colon != std::string_view::npos) {
-    std::string name(line.substr(0, colon));
-    std::ranges::transform(name, name.begin(), [](unsigned char letter) {
-      return static_cast<char>(std::tolower(letter));
-    });
-    const std::string_view value = line.substr(colon + 2);
-    static_cast<HttpReply*>(target)->headers[name] =
-        value.substr(0, value.find_last_not_of("\r\n") + 1);
-  }
+  static_cast<HeadReader*>(target)->TakeLine({data, size * count});
   return size * count;
 }
 
@@ -39,6 +27,7 @@
               const std::vector<std::string>& headers,
               std::chrono::milliseconds patience) -> HttpReply {
   HttpReply reply;
+  HeadReader head;
   CURL* curl = curl_easy_init();
   curl_slist* lines = curl_slist_append(nullptr, "Expect:");
   for (const std::string& header : headers) {
@@ -57,9 +46,10 @@
   }
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply);
-  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &AppendHeader);
-  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply);
-  reply.complete = curl_easy_perform(curl) == CURLE_OK;
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &TakeHeader);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
+  reply.complete = curl_easy_perform(curl) == CURLE_OK && head.is_whole();
+  reply.headers = head.headers();
   long status = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
   reply.status = static_cast<int>(status);
--- a/tests/traffic/forwarding_test.cc
+++ b/tests/traffic/forwarding_test.cc
@@ -223,7 +223,16 @@
       head + "Content-Length: 9\r\n\r\n",
       head + "Content-Length: 4000000\r\n\r\n" + long_part,
       head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(long_part),
-      "HTTP/1.1 103 Early Hints\r\n\r\n" + head};
+      "HTTP/1.1 103 Early Hints\r\n\r\n" + head,
+      "HTTP/1.1 200 OK\r\n",
+      head,
+      head + "Content-Ty",
+      head + "Content-Length: 0\r\n",
+      head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+      head + "Content-Length: 3\r\nContent-Length: 2\r\n\r\nab",
+      head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0",
+      head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nSum: 1"};
   for (const std::string& half : halves) {
     const auto script = [&half](const std::string&) {
       return ScriptedAnswer{half, true};
