Give a request without an id one, in the log and in its answer

What callers saw: a request whose caller sends no attempt id left request="" in every line of the log, so that nobody could go from an answer to its cause. All of them also drew the same service of a split route, since the draw is a hash of the id.

Change: such a request gets 16 random hexadecimal digits. All lines of the log name it by them, the draw uses them, and the answer carries them in the header of the id. Servers still get what the caller sent.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -95,6 +95,7 @@
 auto Forwarder::Begin() -> void {
   began_ = engine_.Now();
   attempt_id_ = std::string(Header(engine_.headers().attempt_id));
+  request_id_ = attempt_id_.empty() ? engine_.DrawRequestId() : attempt_id_;
   engine_.OnRequestBegun(shared_from_this());
   caller_->Watch(
       [weak = weak_from_this()] {
@@ -119,7 +120,7 @@
   SetDeadline();
   prompt_ = ReadPromptShape(Header(engine_.headers().prompt_parts),
                             Header(engine_.headers().token_counts));
-  session_ = prompt_.session != 0 ? prompt_.session : StableHash(attempt_id_);
+  session_ = prompt_.session != 0 ? prompt_.session : StableHash(request_id_);
   ChooseService();
   engine_.BudgetFor(service_).OnRequest(began_);
   ArmTimer();
@@ -266,7 +267,7 @@
   }
   engine_.Log(
       {"server_wait_over",
-       {{"request", attempt_id_},
+       {{"request", request_id_},
         {"service", service_.text()},
         {"cause", std::string(ToString(engine_.chooser().reason()))},
         {"waited_ms", std::to_string(Milliseconds(now - no_server_since_))},
@@ -305,7 +306,7 @@
   connection_ = engine_.pool().Take(backend.entry.address, reuse, attempt_id_);
   if (connection_ == nullptr) {
     engine_.Log({"address_malformed",
-                 {{"request", attempt_id_},
+                 {{"request", request_id_},
                   {"server", backend.entry.id.text()},
                   {"address", backend.entry.address}}});
     tried_.push_back(backend.entry.id);
@@ -328,7 +329,7 @@
   clocks_.Begin(sent_at_, {service_, server_->version, route_->name},
                 ExpectedDelay());
   engine_.Log({"request_sent",
-               {{"request", attempt_id_},
+               {{"request", request_id_},
                 {"route", route_->name},
                 {"server", server_->id.text()},
                 {"server_version", server_->version},
@@ -423,7 +424,7 @@
   }
   engine_.BudgetFor(service_).OnRepeat(now);
   engine_.Log({"request_escalated",
-               {{"request", attempt_id_},
+               {{"request", request_id_},
                 {"model", route_->models[model]},
                 {"confidence", std::to_string(*confidence)},
                 {"next", route_->models[model_]}}});
@@ -463,9 +464,7 @@
     progress_.caller_has_bytes = true;
     // Nothing can be joined to it.
     progress_.resumable = false;
-    AnswerHead head = head_;
-    EraseHopByHop(head);
-    caller_->BeginAnswer(std::move(head));
+    caller_->BeginAnswer(CallerHead());
     caller_->Write(std::exchange(body_, {}));
   }
   if (connection_ != nullptr && caller_->unsent() > kMostUnsent) {
@@ -475,7 +474,7 @@
 
 auto Forwarder::EndOverlongAnswer() -> void {
   engine_.Log({"answer_overlong",
-               {{"request", attempt_id_},
+               {{"request", request_id_},
                 {"server", server_->id.text()},
                 {"status", std::to_string(head_.result_int())}}});
   engine_.metrics().Count("answers_overlong");
@@ -488,7 +487,7 @@
 
 auto Forwarder::EndUnnumberedStream() -> void {
   engine_.Log({"stream_unnumbered",
-               {{"request", attempt_id_}, {"server", server_->id.text()}}});
+               {{"request", request_id_}, {"server", server_->id.text()}}});
   connection_->Cancel();
   OnAttemptOver(SendOutcome::kBroken);
 }
@@ -511,8 +510,7 @@
     if (!answer_begun_) {
       answer_begun_ = true;
       progress_.caller_has_bytes = true;
-      AnswerHead head = head_;
-      EraseHopByHop(head);
+      AnswerHead head = CallerHead();
       head.erase(http::field::content_length);
       caller_->BeginAnswer(std::move(head));
       engine_.metrics().Observe("first_event", engine_.Now() - began_);
@@ -568,8 +566,7 @@
   }
   FinishAttempt(SendOutcome::kAnswered);
   if (!answer_begun_) {
-    AnswerHead head = head_;
-    EraseHopByHop(head);
+    AnswerHead head = CallerHead();
     head.erase(http::field::content_length);
     caller_->BeginAnswer(std::move(head));
   }
@@ -583,9 +580,9 @@
   if (answer_begun_) {
     caller_->Finish();
   } else {
-    EraseHopByHop(head_);
-    head_.erase(http::field::content_length);
-    WholeAnswer answer(head_);
+    AnswerHead head = CallerHead();
+    head.erase(http::field::content_length);
+    WholeAnswer answer(std::move(head));
     answer.body() = std::move(body_);
     caller_->Answer(std::move(answer));
   }
@@ -631,7 +628,7 @@
   }
   engine_.Log(
       {"send_failed",
-       {{"request", attempt_id_},
+       {{"request", request_id_},
         {"server", server_->id.text()},
         {"outcome", std::string(ToString(outcome))},
         {"status", std::to_string(head_at_ ? head_.result_int() : 0)},
@@ -654,9 +651,9 @@
                      Fail(502, "server_failure");
                      return;
                    }
-                   EraseHopByHop(head_);
-                   head_.erase(http::field::content_length);
-                   WholeAnswer answer(head_);
+                   AnswerHead head = CallerHead();
+                   head.erase(http::field::content_length);
+                   WholeAnswer answer(std::move(head));
                    answer.body() = std::move(body_);
                    caller_->Answer(std::move(answer));
                    Over("server_failure", head_.result_int());
@@ -673,8 +670,22 @@
       step);
 }
 
+auto Forwarder::CallerHead() const -> AnswerHead {
+  AnswerHead head = head_;
+  EraseHopByHop(head);
+  Identify(head);
+  return head;
+}
+
+auto Forwarder::Identify(AnswerHead& head) const -> void {
+  if (attempt_id_.empty()) {
+    head.set(engine_.headers().attempt_id, request_id_);
+  }
+}
+
 auto Forwarder::Refuse(std::string_view reason) -> void {
   WholeAnswer answer(http::status::service_unavailable, 11);
+  Identify(answer.base());
   const Duration longest =
       route_ == nullptr ? kLeastReturn + kReturnSpread : TimeLeft() / 3;
   const Duration back =
@@ -689,7 +700,9 @@
 }
 
 auto Forwarder::Fail(unsigned status, std::string_view reason) -> void {
-  caller_->Answer(WholeAnswer(static_cast<http::status>(status), 11));
+  WholeAnswer answer(static_cast<http::status>(status), 11);
+  Identify(answer.base());
+  caller_->Answer(std::move(answer));
   Over(reason, status);
 }
 
@@ -811,7 +824,7 @@
       engine_.metrics().Count("overdue_attempts_kept");
       engine_.Log(
           {"overdue_attempt_kept",
-           {{"request", attempt_id_},
+           {{"request", request_id_},
             {"server", server_->id.text()},
             {"overdue", std::string(ToString(overdue))},
             {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
@@ -822,7 +835,7 @@
   }
   engine_.metrics().Count("overdue_attempts_moved");
   engine_.Log({"overdue_attempt_moved",
-               {{"request", attempt_id_},
+               {{"request", request_id_},
                 {"server", server_->id.text()},
                 {"overdue", std::string(ToString(overdue))},
                 {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
@@ -875,7 +888,7 @@
   engine_.metrics().Observe("request", total);
   engine_.Log(
       {"request_over",
-       {{"request", attempt_id_},
+       {{"request", request_id_},
         {"route", route_ == nullptr ? "" : route_->name},
         {"account", account_ == nullptr ? "" : account_->id.text()},
         {"outcome", std::string(outcome)},
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -71,6 +71,10 @@
   auto AnswerWhole() -> void;
   auto Refuse(std::string_view reason) -> void;
   auto Fail(unsigned status, std::string_view reason) -> void;
+  // The server's head as the caller gets it.
+  [[nodiscard]] auto CallerHead() const -> AnswerHead;
+  // Adds the request's id to an answer if its caller sent none.
+  auto Identify(AnswerHead& head) const -> void;
   auto OnCallerGone() -> void;
   auto OnCallerDrained() -> void;
   auto OnTimer() -> void;
@@ -97,7 +101,10 @@
   const ForwardingRoute* route_ = nullptr;
   const ForwardingAccount* account_ = nullptr;
   ServiceId service_;
+  // As the caller sent it; may be empty.
   std::string attempt_id_;
+  // Names the request in the log.
+  std::string request_id_;
   PromptShape prompt_;
   // Its requests stay on one version and one service of a split route.
   std::uint64_t session_ = 0;
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -1,7 +1,9 @@
 #include "libzinniastep/traffic/traffic_engine.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include "libzinniastep/traffic/delivery_watch.h"
@@ -50,6 +52,13 @@
   chooser_.SetView(Now(), view_);
 }
 
+auto TrafficEngine::DrawRequestId() -> std::string {
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx",
+                static_cast<unsigned long long>(random_.Next()));
+  return digits.data();
+}
+
 auto TrafficEngine::OnRequest(std::shared_ptr<CallerConnection> caller,
                               CallerRequest request) -> void {
   std::make_shared<Forwarder>(*this, std::move(caller), std::move(request))
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -84,6 +85,8 @@
   }
   [[nodiscard]] auto answer_clock() -> AnswerClock& { return answer_clock_; }
   auto AddEvidence(const VersionKey& key, const VersionCounts& counts) -> void;
+  // Returns an id for a request whose caller sent none: 16 hexadecimal digits.
+  [[nodiscard]] auto DrawRequestId() -> std::string;
   auto Log(const LogEvent& event) -> void { log_(event); }
   auto OnRequestBegun(std::shared_ptr<Forwarder> forwarder) -> void;
   auto OnRequestOver(const std::shared_ptr<Forwarder>& forwarder) -> void;
--- a/tests/traffic/forwarding_test.cc
+++ b/tests/traffic/forwarding_test.cc
@@ -404,5 +404,22 @@
   EXPECT_TRUE(Eventually([&server] { return server.abandoned() == 1; }));
 }
 
+TEST(Forwarding, ARequestWithoutAnIdGetsOneInLogAndAnswer) {
+  const ScriptedServer server([](const std::string& request) {
+    EXPECT_EQ(HeaderOf(request, "Zinniastep-Attempt-Id"), "");
+    return ScriptedAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+  });
+  EngineHost host({&server});
+  for (const char* path : {"/once/", "/idem/", "/none/"}) {
+    const CallerAnswer answer =
+        host.Call("POST " + std::string(path) +
+                  " HTTP/1.1\r\nHost: x.example\r\nAuthorization: Token k"
+                  "\r\nContent-Length: 1\r\n\r\nx");
+    const std::string id = HeaderOf(answer.head, "Zinniastep-Attempt-Id");
+    EXPECT_EQ(id.size(), 16U) << path;
+    EXPECT_EQ(host.Logged("request_over", "request").back(), id);
+  }
+}
+
 }  // namespace
 }  // namespace zinniastep::testing
