Answer what is unfinished at the end of a graceful stop

What callers saw: in a stop, requests that were at a server, begun streams and bodies that were still coming in ended half a second before the grace did, with a closed connection and without a line in the log. Requests that came up to 2.5 s after the signal were taken although their own time exceeded the grace, among them some that may run once.

Cause: the class is a bounded wait whose end was not part of the design. ShutDown() waited for the count of requests to become zero and returned when the time was over; the destructors then ended what was left. No decision stood at the entry either: a host that leaves took all that it could still read.

Change: shutdown_decision holds both decisions, without a socket. A request that comes after the signal is taken if its deadline is before the end, or if requests of its route usually end by then: by the mean for those that may run again, by the longest recent one for those that may not, since their callers cannot ask again. Others are refused at once as not run, with a Retry-After of up to 0.1 s: another host can take them now, while a host that leaves can only cut them. Half a second before the end each request under way gets what is known of it: not run, unknown (502), or an answer that breaks off; a body that is still coming in is refused when new requests are. The process then waits until the callers' connections are closed, at most until 0.1 s before the end, since a process that ends with unread bytes resets them.

--- a/src/libzinniastep/gateway/traffic_policy.h
+++ b/src/libzinniastep/gateway/traffic_policy.h
@@ -114,6 +114,9 @@
   [[nodiscard]] auto limits() const -> const CallerLimits& { return limits_; }
   // Without accounts callers need no key.
   [[nodiscard]] auto has_accounts() const -> bool { return !accounts_.empty(); }
+  [[nodiscard]] auto routes() const -> const std::vector<ForwardingRoute>& {
+    return routes_;
+  }
   [[nodiscard]] auto services() const -> const std::vector<ForwardingService>& {
     return services_;
   }
--- a/src/libzinniastep/traffic/caller_connection.cc
+++ b/src/libzinniastep/traffic/caller_connection.cc
@@ -68,7 +68,7 @@
   timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->busy_) {
       if (self->parser_.has_value() && self->parser_->got_some()) {
-        self->RejectRequest(http::status::request_timeout);
+        self->RejectRequest(WholeAnswer(http::status::request_timeout, 11));
       } else {
         self->OnIdle();
       }
@@ -142,7 +142,7 @@
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
     if (error && error != http::error::need_more) {
-      RejectRequest(StatusFor(error));
+      RejectRequest(WholeAnswer(StatusFor(error), 11));
       return;
     }
     if (parser_->is_header_done() && !parser_->is_done()) {
@@ -159,7 +159,7 @@
     if (error == http::error::need_more || used == 0) {
       if (buffer_.size() > limits_.header_bytes + kMostReadAhead) {
         // The header of a chunk, or a trailer, without an end.
-        RejectRequest(http::status::bad_request);
+        RejectRequest(WholeAnswer(http::status::bad_request, 11));
       }
       return;
     }
@@ -171,7 +171,7 @@
   parser_.reset();
   timer_.cancel();
   if (!IsFramingSafe(request)) {
-    RejectRequest(http::status::bad_request);
+    RejectRequest(WholeAnswer(http::status::bad_request, 11));
     return;
   }
   busy_ = true;
@@ -181,8 +181,16 @@
   handler_(shared_from_this(), std::move(request));
 }
 
-auto CallerConnection::RejectRequest(http::status status) -> void {
-  WholeAnswer answer(status, 11);
+auto CallerConnection::RefuseUnread() -> void {
+  if (busy_ || closing_ || closed_ || !parser_.has_value()) {
+    return;
+  }
+  WholeAnswer answer(http::status::service_unavailable, 11);
+  answer.set(http::field::retry_after, "0");
+  RejectRequest(std::move(answer));
+}
+
+auto CallerConnection::RejectRequest(WholeAnswer answer) -> void {
   parser_.reset();
   busy_ = true;
   keep_alive_ = false;
--- a/src/libzinniastep/traffic/caller_connection.h
+++ b/src/libzinniastep/traffic/caller_connection.h
@@ -65,6 +65,8 @@
   auto BeginShutdown() -> void;
   // Closes the connection if no request is under way.
   auto CloseIfIdle() -> void;
+  // Refuses a request of which a part has come, as not run.
+  auto RefuseUnread() -> void;
 
   // Bytes that wait to go out.
   [[nodiscard]] auto unsent() const -> std::size_t { return unsent_; }
@@ -84,7 +86,7 @@
   auto OnReadEnd() -> void;
   auto Parse() -> void;
   auto OnRequest() -> void;
-  auto RejectRequest(boost::beast::http::status status) -> void;
+  auto RejectRequest(WholeAnswer answer) -> void;
   auto Arm(Duration time) -> void;
   // Begins the time that the caller may stay idle.
   auto BeginIdle() -> void;
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -43,10 +43,9 @@
 // part saves and what a prompt is expected to take.
 constexpr double kPromptTokensPerMs = 20.0;
 constexpr double kFirstEventMs = 40.0;
-// Refused callers return after this, at random, so that they do not return
-// together.
-constexpr Duration kLeastReturn = std::chrono::milliseconds(200);
-constexpr Duration kReturnSpread = std::chrono::milliseconds(600);
+// Callers that find another host ready to take them.
+constexpr ReturnTime kReturnElsewhere{Duration(0),
+                                      std::chrono::milliseconds(100)};
 
 auto Milliseconds(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -111,13 +110,21 @@
       });
   if (const unsigned status = FindPlace(); status != 0) {
     if (status == 503) {
-      Refuse(engine_.is_refusing() ? "shutting_down" : "no_configuration");
+      if (engine_.is_refusing()) {
+        Refuse("shutting_down", kReturnElsewhere);
+      } else {
+        Refuse("no_configuration");
+      }
     } else {
       Fail(status, status == 404 ? "no_route" : "unknown_key");
     }
     return;
   }
   SetDeadline();
+  if (!engine_.CanFinish(route_->name, progress_)) {
+    Refuse("shutting_down", kReturnElsewhere);
+    return;
+  }
   prompt_ = ReadPromptShape(Header(engine_.headers().prompt_parts),
                             Header(engine_.headers().token_counts));
   session_ = prompt_.session != 0 ? prompt_.session : StableHash(request_id_);
@@ -683,14 +690,14 @@
   }
 }
 
-auto Forwarder::Refuse(std::string_view reason) -> void {
+auto Forwarder::Refuse(std::string_view reason, ReturnTime time) -> void {
   WholeAnswer answer(http::status::service_unavailable, 11);
   Identify(answer.base());
   const Duration longest =
-      route_ == nullptr ? kLeastReturn + kReturnSpread : TimeLeft() / 3;
+      route_ == nullptr ? time.least + time.spread : TimeLeft() / 3;
   const Duration back =
-      std::min(longest, kLeastReturn + std::chrono::duration_cast<Duration>(
-                                           kReturnSpread * engine_.Draw()));
+      std::min(longest, time.least + std::chrono::duration_cast<Duration>(
+                                         time.spread * engine_.Draw()));
   char text[32];
   std::snprintf(text, sizeof text, "%.3f",
                 std::chrono::duration<double>(back).count());
@@ -706,6 +713,35 @@
   Over(reason, status);
 }
 
+auto Forwarder::EndForShutdown() -> void {
+  if (over_) {
+    return;
+  }
+  const bool is_sent = connection_ != nullptr && connection_->is_sent();
+  engine_.Log({"request_cut_by_shutdown",
+               {{"request", request_id_},
+                {"server", server_.has_value() ? server_->id.text() : ""},
+                {"sent", is_sent ? "yes" : "no"},
+                {"events", std::to_string(events_passed_)},
+                {"left_ms", std::to_string(Milliseconds(TimeLeft()))}}});
+  if (server_.has_value()) {
+    EndClocks(engine_.Now(), false);
+    engine_.chooser().OnEnd(engine_.Now(), server_->id);
+    connection_->Cancel();
+    connection_ = nullptr;
+    server_.reset();
+  }
+  std::visit(Overloaded{[this](const RefuseNotRun&) {
+                          Refuse("shutting_down", kReturnElsewhere);
+                        },
+                        [this](const AbortAnswer&) {
+                          caller_->BreakOff();
+                          Over("cut_by_shutdown", 0);
+                        },
+                        [this](const auto&) { Fail(502, "cut_by_shutdown"); }},
+             EndUnfinished(progress_, is_sent));
+}
+
 auto Forwarder::Abandon() -> void {
   over_ = true;
   timer_.cancel();
@@ -886,6 +922,9 @@
   const Duration total = engine_.Now() - began_;
   engine_.metrics().Count("requests_" + std::string(outcome));
   engine_.metrics().Observe("request", total);
+  if (outcome == "answered") {
+    engine_.RecordDuration(route_->name, total);
+  }
   engine_.Log(
       {"request_over",
        {{"request", request_id_},
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -1,6 +1,7 @@
 #ifndef LIBZINNIASTEP_TRAFFIC_FORWARDER_H_
 #define LIBZINNIASTEP_TRAFFIC_FORWARDER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -24,6 +25,13 @@
 
 class TrafficEngine;
 
+// When a refused caller may return: after `least` and a random part of
+// `spread`, so that refused callers do not return together.
+struct ReturnTime {
+  Duration least = std::chrono::milliseconds(200);
+  Duration spread = std::chrono::milliseconds(600);
+};
+
 // Carries one caller's request: finds its route and account, sends it to
 // backend servers as the decisions say, and hands the answer on. Used on the
 // traffic thread only.
@@ -40,6 +48,10 @@
   // Ends without a word to anybody, when the process ends.
   auto Abandon() -> void;
 
+  // Ends the request with what is known of it: not run, unknown, or an answer
+  // that breaks off.
+  auto EndForShutdown() -> void;
+
   auto OnHead(const AnswerHead& head) -> void override;
   auto OnBody(std::string_view bytes) -> void override;
   auto OnEnd(ExchangeEnd end) -> void override;
@@ -69,7 +81,8 @@
   auto EndUnnumberedStream() -> void;
   auto OnStreamEnd() -> void;
   auto AnswerWhole() -> void;
-  auto Refuse(std::string_view reason) -> void;
+  // Refuses the request as not run.
+  auto Refuse(std::string_view reason, ReturnTime time = {}) -> void;
   auto Fail(unsigned status, std::string_view reason) -> void;
   // The server's head as the caller gets it.
   [[nodiscard]] auto CallerHead() const -> AnswerHead;
--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -27,8 +27,11 @@
 // After the signal callers learn from the directory that this host leaves;
 // until then it takes new connections.
 constexpr Duration kAcceptAfterSignal = std::chrono::milliseconds(2500);
+// Requests are ended this long before the process's time is over, so that
+// callers are told.
+constexpr Duration kAnswerReserve = std::chrono::milliseconds(500);
 // The process ends this long before its time is over.
-constexpr Duration kExitReserve = std::chrono::milliseconds(500);
+constexpr Duration kExitReserve = std::chrono::milliseconds(100);
 constexpr Duration kShutdownPoll = std::chrono::milliseconds(50);
 
 auto SteadyInstant() -> Instant {
@@ -289,15 +292,13 @@
   Write({"settings_read", {{"host", settings.host.text()}}});
 }
 
-auto GatewayDaemon::WaitForRequests(std::chrono::steady_clock::time_point until)
-    -> void {
-  while (std::chrono::steady_clock::now() < until) {
-    std::promise<std::size_t> busy;
-    asio::post(traffic_io_, [this, &busy] {
-      callers_->CloseIdle();
-      busy.set_value(engine_.active());
-    });
-    if (busy.get_future().get() == 0) {
+auto GatewayDaemon::PollTraffic(std::chrono::steady_clock::time_point until,
+                                const std::function<bool()>& is_done) -> void {
+  for (;;) {
+    std::promise<bool> done;
+    asio::post(traffic_io_, [&] { done.set_value(is_done()); });
+    if (done.get_future().get() ||
+        std::chrono::steady_clock::now() + kShutdownPoll >= until) {
       return;
     }
     std::this_thread::sleep_for(kShutdownPoll);
@@ -306,18 +307,35 @@
 
 auto GatewayDaemon::ShutDown() -> void {
   const auto signalled = std::chrono::steady_clock::now();
-  const auto deadline = signalled + settings_.shutdown_time - kExitReserve;
+  const auto end = signalled + settings_.shutdown_time;
+  const auto answer_by = end - kAnswerReserve;
   leaving_ = true;
   Write({"shutdown_begins", {{"host", self_.host.text()}}});
   asio::post(control_io_, [this] { Do(core_.BeginShutdown(SteadyInstant())); });
-  asio::post(traffic_io_, [this] { callers_->BeginShutdown(); });
+  asio::post(traffic_io_, [this, answer_by] {
+    callers_->BeginShutdown();
+    engine_.BeginShutdown(Instant(
+        std::chrono::duration_cast<Duration>(answer_by.time_since_epoch())));
+  });
   std::this_thread::sleep_for(
       std::min<Duration>(kAcceptAfterSignal, settings_.shutdown_time / 3));
   asio::post(traffic_io_, [this] {
     callers_->Close();
     engine_.RefuseNew();
   });
-  WaitForRequests(deadline);
+  PollTraffic(answer_by, [this] {
+    callers_->RefuseUnread();
+    callers_->CloseIdle();
+    return engine_.active() == 0;
+  });
+  PollTraffic(end - kExitReserve, [this] {
+    engine_.EndRequests();
+    callers_->RefuseUnread();
+    callers_->CloseIdle();
+    // A process that ends with unread bytes resets the connection, which can
+    // take the answer from its caller.
+    return callers_->open() == 0;
+  });
   Write({"shutdown_complete",
          {{"took_ms",
            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/libzinniastep/traffic/gateway_daemon.h
+++ b/src/libzinniastep/traffic/gateway_daemon.h
@@ -63,8 +63,9 @@
   auto operator=(const GatewayDaemon&) -> GatewayDaemon& = delete;
   ~GatewayDaemon();
 
-  // Shuts down gracefully; returns when all requests are answered or the time
-  // for it is over.
+  // Shuts down gracefully: hands over new requests that would take too long,
+  // waits for the others, and ends what is unfinished shortly before the time
+  // is over. Returns when the callers have their answers, or at that time.
   auto ShutDown() -> void;
 
   // Notes that the settings file was read again.
@@ -81,7 +82,10 @@
   auto Do(const std::vector<GatewayAction>& actions) -> void;
   auto OnPeerBytes(std::string_view bytes) -> void;
   auto Write(const LogEvent& event) -> void;
-  auto WaitForRequests(std::chrono::steady_clock::time_point until) -> void;
+  // Runs a function on the traffic thread again and again until it returns
+  // true or the time is over.
+  auto PollTraffic(std::chrono::steady_clock::time_point until,
+                   const std::function<bool()>& is_done) -> void;
 
   auto Execute(const ListRecords& action) -> void;
   auto Execute(const WatchRecords& action) -> void;
--- a/src/libzinniastep/traffic/http_listener.cc
+++ b/src/libzinniastep/traffic/http_listener.cc
@@ -124,6 +124,14 @@
   }
 }
 
+auto HttpListener::RefuseUnread() -> void {
+  for (const auto& weak : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->RefuseUnread();
+    }
+  }
+}
+
 auto HttpListener::open() -> std::size_t {
   std::erase_if(connections_, [](const auto& weak) {
     const auto connection = weak.lock();
--- a/src/libzinniastep/traffic/http_listener.h
+++ b/src/libzinniastep/traffic/http_listener.h
@@ -41,6 +41,9 @@
   // Closes the connections without a request under way.
   auto CloseIdle() -> void;
 
+  // Refuses the requests that are still being read, as not run.
+  auto RefuseUnread() -> void;
+
   // Connections that are open.
   [[nodiscard]] auto open() -> std::size_t;
 
--- a/src/libzinniastep/traffic/server_connection.h
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -73,6 +73,8 @@
   // Stops and goes on reading the answer.
   auto Pause() -> void;
   auto Resume() -> void;
+  // Whether bytes of the request under way may have left this host.
+  [[nodiscard]] auto is_sent() const -> bool { return sent_; }
   [[nodiscard]] auto is_paused() const -> bool { return paused_; }
 
   // Watches the idle connection, which becomes unusable when anything comes.
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <string_view>
 #include <utility>
 
 #include "libzinniastep/traffic/delivery_watch.h"
@@ -48,8 +49,32 @@
 }
 
 auto TrafficEngine::SetView(std::shared_ptr<const TrafficView> view) -> void {
+  const bool has_new_routes = view->policy != view_->policy;
   view_ = std::move(view);
   chooser_.SetView(Now(), view_);
+  if (!has_new_routes || view_->policy == nullptr) {
+    return;
+  }
+  std::set<std::string_view> names;
+  for (const ForwardingRoute& route : view_->policy->routes()) {
+    names.insert(route.name);
+  }
+  durations_.KeepIf(
+      [&names](const std::string& name) { return names.contains(name); });
+}
+
+auto TrafficEngine::CanFinish(const std::string& route,
+                              const ForwardProgress& progress) const -> bool {
+  return !shutdown_end_.has_value() ||
+         CanFinishBy(*shutdown_end_, Now(), progress, durations_.Find(route));
+}
+
+auto TrafficEngine::EndRequests() -> void {
+  const std::vector<std::shared_ptr<Forwarder>> unfinished(active_.begin(),
+                                                           active_.end());
+  for (const auto& forwarder : unfinished) {
+    forwarder->EndForShutdown();
+  }
 }
 
 auto TrafficEngine::DrawRequestId() -> std::string {
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
 #include "libzinniastep/gateway/model_choice.h"
 #include "libzinniastep/gateway/repeat_budget.h"
 #include "libzinniastep/gateway/server_chooser.h"
+#include "libzinniastep/gateway/shutdown_decision.h"
 #include "libzinniastep/runtime/metrics.h"
 #include "libzinniastep/traffic/caller_connection.h"
 #include "libzinniastep/traffic/forwarding_headers.h"
@@ -53,9 +55,16 @@
   auto OnRequest(std::shared_ptr<CallerConnection> caller,
                  CallerRequest request) -> void;
 
+  // From now on new requests are taken only if their answers can be expected by
+  // `end`; others are refused as not run, for another host to take.
+  auto BeginShutdown(Instant end) -> void { shutdown_end_ = end; }
+
   // From now on new requests are refused as not run.
   auto RefuseNew() -> void { refusing_ = true; }
 
+  // Ends all requests under way, each with what is known of it.
+  auto EndRequests() -> void;
+
   // Closes idle connections that are past their time.
   auto Sweep() -> void { pool_.Sweep(); }
 
@@ -85,6 +94,13 @@
   }
   [[nodiscard]] auto answer_clock() -> AnswerClock& { return answer_clock_; }
   auto AddEvidence(const VersionKey& key, const VersionCounts& counts) -> void;
+  // Whether a new request of the route can be expected to be answered before
+  // this host ends.
+  [[nodiscard]] auto CanFinish(const std::string& route,
+                               const ForwardProgress& progress) const -> bool;
+  auto RecordDuration(const std::string& route, Duration duration) -> void {
+    durations_.Record(route, duration);
+  }
   // Returns an id for a request whose caller sent none: 16 hexadecimal digits.
   [[nodiscard]] auto DrawRequestId() -> std::string;
   auto Log(const LogEvent& event) -> void { log_(event); }
@@ -113,6 +129,8 @@
   VersionEvidence evidence_;
   AnswerClock answer_clock_{evidence_};
   std::set<std::shared_ptr<Forwarder>> active_;
+  RequestDurations durations_;
+  std::optional<Instant> shutdown_end_;
   bool refusing_ = false;
 };
 
--- /dev/null
+++ b/tests/traffic/gateway_process.h
@@ -0,0 +1,67 @@
+#ifndef TESTS_TRAFFIC_GATEWAY_PROCESS_H_
+#define TESTS_TRAFFIC_GATEWAY_PROCESS_H_
+
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/process/child_process.h"
+#include "tests/traffic/scripted_server.h"
+
+namespace zinniastep::testing {
+
+// The contents of a store of the platform.
+struct StoreContents {
+  // Bodies of the answers to lists, by the kind's name; other kinds are empty.
+  std::string config;
+  std::string servers;
+};
+
+// A real gateway process before a scripted store, with the ports of its
+// addresses on a loopback address of its own.
+class GatewayProcess {
+ public:
+  static constexpr int kShutdownSeconds = 3;
+
+  // Starts the process; IsServing() tells when it can be used.
+  explicit GatewayProcess(StoreContents contents);
+  GatewayProcess(const GatewayProcess&) = delete;
+  auto operator=(const GatewayProcess&) -> GatewayProcess& = delete;
+
+  // Contents with one service, "pool", whose servers "s0", "s1" and so on
+  // listen at these addresses. Routes of the host "x.example", each with a
+  // timeout of 20 s: "/once/" (at most once), "/idem/" (idempotent), "/gen/"
+  // (resumable streams).
+  static auto Contents(const std::vector<std::string>& server_addresses)
+      -> StoreContents;
+  // One entry of the list of servers, as the store holds it.
+  static auto ServerEntry(const std::string& name, const std::string& address)
+      -> nlohmann::json;
+  // A list of entries, as the store answers it.
+  static auto List(const nlohmann::json& entries) -> std::string;
+
+  // Waits until callers' connections are answered.
+  auto WaitUntilServing() -> bool;
+  // Waits for a line of the log that contains a text.
+  auto WaitForLog(const std::string& text, std::chrono::milliseconds patience)
+      -> bool;
+
+  // Where callers connect, as "address:port".
+  [[nodiscard]] auto callers() const -> std::string;
+  [[nodiscard]] auto store() const -> const ScriptedServer& { return store_; }
+  [[nodiscard]] auto child() -> ChildProcess& { return *child_; }
+
+ private:
+  [[nodiscard]] auto Address(int port) const -> std::string;
+  [[nodiscard]] auto Settings() const -> nlohmann::json;
+
+  ScriptedServer store_;
+  std::string loopback_;
+  std::unique_ptr<ChildProcess> child_;
+};
+
+}  // namespace zinniastep::testing
+
+#endif  // TESTS_TRAFFIC_GATEWAY_PROCESS_H_
