Bound the JSON that the entry host and its tools read

A deeply nested document, patch of a peer or object of the store ends zinniastepd or zinniastepctl by a stack overflow, one odd object hides all others of a list from zinniastepctl, and numbers that do not fit are converted all the same, which differs between x86-64 and arm64.

ParseJson() bounded the size but not the depth; PatchJson() copies what a peer sent; ListDifferences() compares any object of the store; counts of tokens and load reports were cast without bounds.

Change: all readers of JSON that others wrote use bounded_json. Ledgers, claims and the assignment table take whole numbers in range only; zinniastepctl reads each object of a list for itself; tokens and load counts are clamped. zinniastepctl refuses to write a document that is nested too deeply, with a finding.

--- a/src/libzinniastep/assignment/assignment_table.cc
+++ b/src/libzinniastep/assignment/assignment_table.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "libzinniastep/base/hash.h"
 
 namespace zinniastep {
@@ -21,7 +22,7 @@
 auto HolderFrom(const Json& json) -> Holder {
   return Holder{HostId(json.at("host").get<std::string>()),
                 json.at("incarnation").get<Incarnation>(),
-                json.at("epoch").get<std::uint64_t>()};
+                WholeOrThrow(json.at("epoch"))};
 }
 
 auto SlotFrom(const Json& json) -> AssignmentSlot {
@@ -52,10 +53,10 @@
 
 auto DecodeTable(std::string_view value) -> absl::StatusOr<AssignmentTable> {
   try {
-    const Json json = Json::parse(value);
+    const Json json = JsonOrThrow(value);
     AssignmentTable table;
-    table.generation = json.at("generation").get<std::uint64_t>();
-    table.last_epoch = json.at("last_epoch").get<std::uint64_t>();
+    table.generation = WholeOrThrow(json.at("generation"));
+    table.last_epoch = WholeOrThrow(json.at("last_epoch"));
     for (const Json& slot : json.at("slots")) {
       table.slots.push_back(SlotFrom(slot));
     }
--- a/src/libzinniastep/billing/ledger.cc
+++ b/src/libzinniastep/billing/ledger.cc
@@ -4,10 +4,13 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep {
 
 namespace {
@@ -60,17 +63,17 @@
   key.region = RegionId(json.at("region").get<std::string>());
   key.version = {json.at("model").get<std::string>(),
                  json.at("version").get<std::string>()};
-  key.hour = json.at("hour").get<std::uint64_t>();
+  key.hour = WholeOrThrow(json.at("hour"));
   TotalsLine line;
-  line.requests = json.at("requests").get<std::uint64_t>();
-  line.failed = json.at("failed").get<std::uint64_t>();
-  line.unknown = json.at("unknown").get<std::uint64_t>();
-  line.attempts = json.at("attempts").get<std::uint64_t>();
+  line.requests = WholeOrThrow(json.at("requests"));
+  line.failed = WholeOrThrow(json.at("failed"));
+  line.unknown = WholeOrThrow(json.at("unknown"));
+  line.attempts = WholeOrThrow(json.at("attempts"));
   line.cost = json.at("cost_micros").get<MicroMoney>();
-  line.prompt_tokens = json.at("prompt_tokens").get<std::uint64_t>();
-  line.completion_tokens = json.at("completion_tokens").get<std::uint64_t>();
+  line.prompt_tokens = WholeOrThrow(json.at("prompt_tokens"));
+  line.completion_tokens = WholeOrThrow(json.at("completion_tokens"));
   line.quality_sum = json.at("quality_sum").get<double>();
-  line.quality_count = json.at("quality_count").get<std::uint64_t>();
+  line.quality_count = WholeOrThrow(json.at("quality_count"));
   totals.Add(key, line);
 }
 
@@ -125,17 +128,18 @@
 
 auto ReadLedger(std::string_view value) -> absl::StatusOr<Ledger> {
   try {
-    const Json json = Json::parse(value);
+    const Json json = JsonOrThrow(value);
     Ledger ledger;
-    ledger.id.incarnation = json.at("incarnation").get<std::uint64_t>();
-    ledger.id.part = json.at("part").get<std::uint32_t>();
+    ledger.id.incarnation = WholeOrThrow(json.at("incarnation"));
+    ledger.id.part = static_cast<std::uint32_t>(WholeOrThrow(
+        json.at("part"), std::numeric_limits<std::uint32_t>::max()));
     ledger.host = HostId(json.at("host").get<std::string>());
-    ledger.mark = json.at("mark").get<std::uint64_t>();
+    ledger.mark = WholeOrThrow(json.at("mark"));
     ledger.sealed = json.at("sealed").get<bool>();
-    ledger.sealed_by = json.at("sealed_by").get<std::uint64_t>();
+    ledger.sealed_by = WholeOrThrow(json.at("sealed_by"));
     for (const Json& range : json.at("taken")) {
       ledger.taken.push_back(
-          {range.at(0).get<std::uint64_t>(), range.at(1).get<std::uint64_t>()});
+          {WholeOrThrow(range.at(0)), WholeOrThrow(range.at(1))});
     }
     for (const Json& line : json.at("taken_totals")) {
       AddLine(line, ledger.taken_totals);
--- a/src/libzinniastep/claim/shard_ledger.cc
+++ b/src/libzinniastep/claim/shard_ledger.cc
@@ -1,11 +1,14 @@
 #include "libzinniastep/claim/shard_ledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep {
 
 namespace {
@@ -70,20 +73,20 @@
 
 auto ReadShardLedger(std::string_view value) -> absl::StatusOr<ShardLedger> {
   try {
-    const Json json = Json::parse(value);
+    const Json json = JsonOrThrow(value);
     ShardLedger ledger;
-    ledger.millisecond = json.at("millisecond").get<std::uint64_t>();
+    ledger.millisecond = WholeOrThrow(json.at("millisecond"));
     for (const Json& item : json.at("entries")) {
-      const int state = item.at(1).get<int>();
+      const int state = static_cast<int>(
+          WholeOrThrow(item.at(1), std::numeric_limits<int>::max()));
       if (state < 0 || state > static_cast<int>(ClaimState::kUnknown)) {
         return absl::InvalidArgumentError("unknown claim state");
       }
       ClaimEntry entry;
       entry.state = static_cast<ClaimState>(state);
-      entry.request = {item.at(2).get<std::uint64_t>(),
-                       item.at(3).get<std::uint64_t>()};
-      entry.body_hash = item.at(4).get<std::uint64_t>();
-      entry.millisecond = item.at(5).get<std::uint64_t>();
+      entry.request = {WholeOrThrow(item.at(2)), WholeOrThrow(item.at(3))};
+      entry.body_hash = WholeOrThrow(item.at(4));
+      entry.millisecond = WholeOrThrow(item.at(5));
       ledger.entries.emplace(KeyDigest(item.at(0).get<std::string>()), entry);
     }
     return ledger;
--- a/src/libzinniastep/configuration/json_object_reader.cc
+++ b/src/libzinniastep/configuration/json_object_reader.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep {
 
 namespace {
@@ -88,6 +90,12 @@
         {"", "longer than " + std::to_string(kLargestText) + " bytes"});
     return std::nullopt;
   }
+  if (IsNestedTooDeeply(text)) {
+    findings.push_back({"", "nested more than " +
+                                std::to_string(kMostJsonDepth) +
+                                " levels deep"});
+    return std::nullopt;
+  }
   const std::size_t findings_before = findings.size();
   RepeatedMemberFinder finder(findings);
   try {
--- a/src/libzinniastep/configuration/record_content.cc
+++ b/src/libzinniastep/configuration/record_content.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "libzinniastep/base/overloaded.h"
 #include "libzinniastep/configuration/document_reader.h"
 #include "libzinniastep/configuration/document_writer.h"
@@ -139,17 +140,17 @@
 }
 
 auto CanonicalJson(std::string_view text) -> std::string {
-  return json::parse(text).dump();
+  return JsonOrThrow(text).dump();
 }
 
 auto DiffJson(std::string_view older, std::string_view newer) -> std::string {
-  return json::diff(json::parse(older), json::parse(newer)).dump();
+  return json::diff(JsonOrThrow(older), JsonOrThrow(newer)).dump();
 }
 
 auto JoinPatches(std::string_view first, std::string_view second)
     -> std::string {
-  json joined = json::parse(first);
-  for (json& step : json::parse(second)) {
+  json joined = JsonOrThrow(first);
+  for (json& step : JsonOrThrow(second)) {
     joined.push_back(std::move(step));
   }
   return joined.dump();
@@ -158,7 +159,7 @@
 auto PatchJson(std::string_view text, std::string_view patch)
     -> std::optional<std::string> {
   try {
-    return json::parse(text).patch(json::parse(patch)).dump();
+    return JsonOrThrow(text).patch(JsonOrThrow(patch)).dump();
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/libzinniastep/operations/record_change.cc
+++ b/src/libzinniastep/operations/record_change.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep {
 
 namespace {
@@ -28,8 +30,8 @@
 auto ListDifferences(std::string_view older, std::string_view newer)
     -> std::vector<std::string> {
   std::vector<std::string> differences;
-  const json before = json::parse(older, nullptr, false);
-  const json after = json::parse(newer, nullptr, false);
+  const json before = JsonOrDiscarded(older);
+  const json after = JsonOrDiscarded(newer);
   for (const json& step : json::diff(before, after)) {
     const auto path = step["path"].get<std::string>();
     if (path != "/generation") {
--- a/src/libzinniastep/runtime/chat_request.cc
+++ b/src/libzinniastep/runtime/chat_request.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "libzinniastep/base/hash.h"
 
 namespace zinniastep {
@@ -65,7 +66,7 @@
 }  // namespace
 
 auto ReadChatRequest(std::string_view body) -> absl::StatusOr<ChatCall> {
-  const Json parsed = Json::parse(body, nullptr, false);
+  const Json parsed = JsonOrDiscarded(body);
   if (parsed.is_discarded()) {
     return absl::InvalidArgumentError("the body is not valid JSON in UTF-8");
   }
--- a/src/libzinniastep/runtime/event_stream.cc
+++ b/src/libzinniastep/runtime/event_stream.cc
@@ -1,7 +1,12 @@
 #include "libzinniastep/runtime/event_stream.h"
 
+#include <algorithm>
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep {
 
 namespace {
@@ -10,10 +15,15 @@
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDataPrefix = "data: ";
 
+auto Tokens(double stated) -> std::uint32_t {
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp(stated, 0.0, kMost));
+}
+
 }  // namespace
 
 auto ReadUsage(std::string_view json, AttemptUsage& usage) -> void {
-  const auto parsed = nlohmann::json::parse(json, nullptr, false);
+  const auto parsed = JsonOrDiscarded(json);
   if (!parsed.is_object()) {
     return;
   }
@@ -26,10 +36,8 @@
     return member != found->end() && member->is_number() ? member->get<double>()
                                                          : missing;
   };
-  usage.prompt_tokens =
-      static_cast<std::uint32_t>(number("prompt_tokens", 0.0));
-  usage.completion_tokens =
-      static_cast<std::uint32_t>(number("completion_tokens", 0.0));
+  usage.prompt_tokens = Tokens(number("prompt_tokens", 0.0));
+  usage.completion_tokens = Tokens(number("completion_tokens", 0.0));
   usage.confidence = number("confidence", -1.0);
 }
 
--- a/src/libzinniastep/runtime/platform_answers.cc
+++ b/src/libzinniastep/runtime/platform_answers.cc
@@ -1,10 +1,14 @@
 #include "libzinniastep/runtime/platform_answers.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 #include <string>
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep {
 
 namespace {
@@ -40,6 +44,11 @@
              : 0;
 }
 
+auto Count(const Json& object, const char* name) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      Number(object, name), std::numeric_limits<std::uint32_t>::max()));
+}
+
 auto Elements(const Json& object, const char* name) -> const Json& {
   static const Json none = Json::array();
   const auto found = object.find(name);
@@ -56,7 +65,7 @@
 
 auto ReadObjects(const HttpResult& result)
     -> std::variant<StoreFound, StoreWritten, StoreConflict, StoreSilent> {
-  const Json body = Json::parse(result.body, nullptr, false);
+  const Json body = JsonOrDiscarded(result.body);
   if (!body.is_object()) {
     return StoreSilent{};
   }
@@ -106,15 +115,15 @@
   if (!result.complete || result.status != kOk) {
     return polled;
   }
-  const Json body = Json::parse(result.body, nullptr, false);
+  const Json body = JsonOrDiscarded(result.body);
   if (!body.is_object()) {
     return polled;
   }
   polled.answered = true;
   LoadReport& report = polled.report;
   report.incarnation = Number(body, "incarnation");
-  report.running = static_cast<std::uint32_t>(Number(body, "running"));
-  report.queued = static_cast<std::uint32_t>(Number(body, "queued"));
+  report.running = Count(body, "running");
+  report.queued = Count(body, "queued");
   const auto warm = body.find("warm");
   report.warm = warm != body.end() && warm->is_boolean() && warm->get<bool>();
   for (const Json& version : Elements(body, "versions")) {
@@ -132,7 +141,7 @@
 
 auto ReadHostListAnswer(const HttpResult& result)
     -> std::optional<HostListRead> {
-  const Json body = Json::parse(result.body, nullptr, false);
+  const Json body = JsonOrDiscarded(result.body);
   if (!result.complete || result.status != kOk || !body.is_object()) {
     return std::nullopt;
   }
@@ -147,7 +156,7 @@
 }
 
 auto ReadRating(const HttpResult& result) -> std::optional<double> {
-  const Json body = Json::parse(result.body, nullptr, false);
+  const Json body = JsonOrDiscarded(result.body);
   if (!result.complete || result.status != kOk || !body.is_object()) {
     return std::nullopt;
   }
--- a/src/zinniastep-load/answer_reader.cc
+++ b/src/zinniastep-load/answer_reader.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "zinniastep-standin/answer_text.h"
 
 namespace zinniastep::load {
@@ -39,20 +40,20 @@
     }
     line.remove_prefix(kData.size());
     done = done || line.starts_with(kDone);
-    text += Content(json::parse(line, nullptr, false), "delta");
+    text += Content(JsonOrDiscarded(line), "delta");
   }
   return done ? text : std::string();
 }
 
 auto IsWhole(const PlannedCall& call, const std::string& body) -> bool {
   if (!call.kind->service.empty()) {
-    const json answer = json::parse(body, nullptr, false);
+    const json answer = JsonOrDiscarded(body);
     return answer.is_object() &&
            answer.value("digest", "") == standin::ShortDigest(call.prompt);
   }
-  const std::string text =
-      call.stream ? StreamedText(body)
-                  : Content(json::parse(body, nullptr, false), "message");
+  const std::string text = call.stream
+                               ? StreamedText(body)
+                               : Content(JsonOrDiscarded(body), "message");
   return standin::IsWholeAnswer(text, call.prompt + "\n");
 }
 
@@ -61,8 +62,7 @@
   const std::size_t event = body.rfind(R"(data: {"error")");
   const std::string text =
       event == std::string::npos ? body : body.substr(event + kData.size());
-  const json value =
-      json::parse(text.substr(0, text.find('\n')), nullptr, false);
+  const json value = JsonOrDiscarded(text.substr(0, text.find('\n')));
   return value.is_object() ? value.value("error", json()) : json();
 }
 
--- a/src/zinniastep-load/entry_addresses.cc
+++ b/src/zinniastep-load/entry_addresses.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep::load {
 namespace {
 
@@ -39,7 +41,7 @@
 
 auto EntryAddresses::Learn(const std::string& from, const std::string& body)
     -> void {
-  const auto answer = nlohmann::json::parse(body, nullptr, false);
+  const auto answer = JsonOrDiscarded(body);
   if (!answer.is_object() || !answer.contains("addresses")) {
     return;
   }
--- a/src/zinniastep-load/load_runner.cc
+++ b/src/zinniastep-load/load_runner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "libzinniastep/base/bounded_json.h"
 #include "zinniastep-load/answer_reader.h"
 #include "zinniastep-standin/answer_text.h"
 
@@ -322,7 +323,7 @@
     request.headers = {"Authorization: Bearer " + options_.operator_key};
     request.send_within = kConnectWithin;
     http_.Submit(std::move(request), [this, address](const HttpResult& done) {
-      auto state = nlohmann::json::parse(done.body, nullptr, false);
+      auto state = JsonOrDiscarded(done.body);
       if (done.complete && state.is_object()) {
         const std::lock_guard lock(mutex_);
         result_.states.push_back(
--- a/src/zinniastep-load/verdict.cc
+++ b/src/zinniastep-load/verdict.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
+#include "libzinniastep/base/bounded_json.h"
 
 namespace zinniastep::load {
 namespace {
@@ -208,7 +209,7 @@
     }
     for (const json& object : evidence_.bills.value("objects", json::array())) {
       const json ledger =
-          json::parse(object.at("value").get<std::string>(), nullptr, false);
+          JsonOrDiscarded(object.at("value").get<std::string>());
       for (const json& line : Lines(ledger)) {
         const auto requests = line.value("requests", std::uint64_t{0});
         const auto without = line.value("failed", std::uint64_t{0}) +
--- a/src/zinniastep-standin/platform.cc
+++ b/src/zinniastep-standin/platform.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <utility>
+
+#include "libzinniastep/base/bounded_json.h"
 namespace zinniastep::standin {
 namespace {
 
@@ -128,7 +130,7 @@
 
 // Takes one fault or a list of them.
 auto Platform::SetFaults(const Request& request) -> void {
-  json faults = json::parse(request.body, nullptr, false);
+  json faults = JsonOrDiscarded(request.body);
   if (faults.is_object()) {
     faults = json::array({faults});
   }
--- a/src/zinniastep-standin/request.cc
+++ b/src/zinniastep-standin/request.cc
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep::standin {
 
 auto CopyRequest(const HttpRequestView& view,
@@ -33,7 +35,7 @@
 }
 
 auto ParseObject(const std::string& text) -> nlohmann::json {
-  auto value = nlohmann::json::parse(text, nullptr, false);
+  auto value = JsonOrDiscarded(text);
   return value.is_object() ? value : nlohmann::json::object();
 }
 
--- a/src/zinniastepctl/change_commands.cc
+++ b/src/zinniastepctl/change_commands.cc
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "libzinniastep/configuration/node_settings.h"
 #include "libzinniastep/configuration/record_content.h"
 
@@ -50,7 +51,7 @@
     return file;
   }
   file.text.assign(std::istreambuf_iterator<char>(stream), {});
-  const auto value = nlohmann::json::parse(file.text, nullptr, false);
+  const auto value = JsonOrDiscarded(file.text);
   if (value.is_object() && value.contains("host")) {
     file.findings = ReadNodeSettings(file.text).findings;
     return file;
--- a/src/zinniastepctl/http_object_client.cc
+++ b/src/zinniastepctl/http_object_client.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "libzinniastep/runtime/percent_coding.h"
 
 namespace zinniastep::ctl {
@@ -36,22 +37,34 @@
           : "the object API did not answer: " + result.error);
 }
 
+auto ToObject(std::string_view item) -> StoredObject {
+  const auto object = JsonOrThrow(item);
+  const auto& value = object.at("value");
+  return {ObjectPath(object.at("path").get<std::string>()),
+          WholeOrThrow(object.at("version")),
+          value.is_string() ? value.get<std::string>() : value.dump()};
+}
+
+// Returns nullopt if the body is no list. An object that cannot be read is left
+// out.
 auto ToObjects(const std::string& body)
     -> std::optional<std::vector<StoredObject>> {
-  try {
-    std::vector<StoredObject> objects;
-    const auto list = nlohmann::json::parse(body);
-    for (const auto& item : list.at("objects")) {
-      const auto& value = item.at("value");
-      objects.push_back(
-          {ObjectPath(item.at("path").get<std::string>()),
-           item.at("version").get<ObjectVersion>(),
-           value.is_string() ? value.get<std::string>() : value.dump()});
-    }
-    return objects;
-  } catch (const nlohmann::json::exception&) {
+  const auto members = SplitJsonObject(body);
+  const auto items = members.has_value()
+                         ? SplitJsonArray(FindMember(*members, "objects"))
+                         : std::nullopt;
+  if (!items.has_value()) {
     return std::nullopt;
   }
+  std::vector<StoredObject> objects;
+  for (const std::string_view item : *items) {
+    try {
+      objects.push_back(ToObject(item));
+    } catch (const nlohmann::json::exception&) {
+      continue;
+    }
+  }
+  return objects;
 }
 
 }  // namespace
--- a/src/zinniastepctl/session.cc
+++ b/src/zinniastepctl/session.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
+
 namespace zinniastep::ctl {
 
 namespace {
@@ -19,10 +21,10 @@
     -> std::uint64_t {
   std::uint64_t newest = 0;
   try {
-    const json status = json::parse(text);
+    const json status = JsonOrThrow(text);
     for (const json& object : status.at("objects")) {
       if (object.at("path") == path.text()) {
-        newest = std::max(newest, object.at("generation").get<std::uint64_t>());
+        newest = std::max(newest, WholeOrThrow(object.at("generation")));
       }
     }
   } catch (const json::exception&) {
@@ -35,9 +37,10 @@
 // to generations.
 auto InState(const std::string& text, const ObjectPath& path) -> std::uint64_t {
   try {
-    return json::parse(text)
-        .at("configuration")
-        .value(path.text(), std::uint64_t{0});
+    const json state = JsonOrThrow(text);
+    const json& generations = state.at("configuration");
+    const auto found = generations.find(path.text());
+    return found == generations.end() ? 0 : WholeOrThrow(*found);
   } catch (const json::exception&) {
     return 0;
   }
--- a/src/zinniastepctl/view_commands.cc
+++ b/src/zinniastepctl/view_commands.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libzinniastep/base/bounded_json.h"
 #include "libzinniastep/configuration/record_content.h"
 #include "libzinniastep/runtime/percent_coding.h"
 
@@ -30,14 +31,14 @@
     -> std::map<std::string, std::vector<RegionCount>> {
   std::map<std::string, std::vector<RegionCount>> counts;
   for (const StoredObject& object : statuses) {
-    const auto status = nlohmann::json::parse(object.value, nullptr, false);
+    const auto status = JsonOrDiscarded(object.value);
     try {
       for (const auto& line : status.at("objects")) {
         counts[line.at("path").get<std::string>()].push_back(
             {status.at("region").get<std::string>(),
-             line.at("generation").get<std::uint64_t>(),
-             line.at("in_force").get<std::uint64_t>(),
-             status.at("hosts").get<std::uint64_t>()});
+             WholeOrThrow(line.at("generation")),
+             WholeOrThrow(line.at("in_force")),
+             WholeOrThrow(status.at("hosts"))});
       }
     } catch (const nlohmann::json::exception&) {
       continue;
@@ -86,7 +87,7 @@
            : absl::IsInvalidArgument(body.status()) ? ExitCode::kUsage
                                                     : ExitCode::kFindings;
   }
-  const auto value = Json::parse(*body, nullptr, false);
+  const auto value = JsonOrDiscarded(*body);
   constexpr int kIndent = 2;
   session.out << (session.json || value.is_discarded() ? *body
                                                        : value.dump(kIndent))
