--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -742,6 +742,12 @@
              EndUnfinished(progress_, is_sent));
 }
 
+auto Forwarder::OnServersChanged() -> void {
+  if (connection_ != nullptr && !engine_.chooser().IsUsable(server_->id)) {
+    connection_->LimitDelivery();
+  }
+}
+
 auto Forwarder::Abandon() -> void {
   over_ = true;
   timer_.cancel();
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -52,6 +52,9 @@
   const bool has_new_routes = view->policy != view_->policy;
   view_ = std::move(view);
   chooser_.SetView(Now(), view_);
+  for (const auto& forwarder : active_) {
+    forwarder->OnServersChanged();
+  }
   if (!has_new_routes || view_->policy == nullptr) {
     return;
   }
