Ask for a second look at a slow target when no other version is left

What callers saw: with all sessions on the target of a roll-out, answers that were held back for a while, whichever version they came from, reverted a good version.

Cause: the guard compares the target with the other versions. At the last stage these get no requests, so that their counts are of the time before the hold. Held answers come at once when the hold ends and count as slow.

Change: at that stage a target that seems slow is reverted only if the answers that end in the 0.7 s after the first sign are slow as well. What was held is over by then; a slow version goes on. Failures, and earlier stages, which have a control group, are judged as before.

--- a/src/libzinniastep/gateway/rollout_guard.cc
+++ b/src/libzinniastep/gateway/rollout_guard.cc
@@ -51,6 +51,11 @@
 constexpr double kSlowLogRatio = 0.9;
 constexpr std::uint64_t kMinTimedAnswers = 12;
 
+// With all sessions on the target no other version shows whether all would be
+// slow now. Answers that were held back and come at once do not go on for this
+// long; those of a slow version do.
+constexpr Duration kConfirmationTime = std::chrono::milliseconds(700);
+
 // Sends of the other versions that are needed to tell which delays are usual,
 // and the share of them that may exceed a delay that counts as unusual.
 constexpr std::uint32_t kMinJudgedSends = 20;
@@ -90,8 +95,6 @@
                  std::max(kFaultyRate, baseline * 3.0), baseline);
 }
 
-enum class OpenSends : std::uint8_t { kLeftOut, kIncluded };
-
 // Returns the logarithm of the odds that the target is slower than the others,
 // by the delay that is unusual for these and, if they speak against the target,
 // by the delays that more of the others exceed. Nothing if the others do not
@@ -201,25 +204,26 @@
 auto FindVersionFault(const VersionEvidence& evidence,
                       const ServiceId& service,
                       const std::string& version)
-    -> std::optional<std::string> {
+    -> std::optional<TargetFault> {
+  using enum TargetFault::Kind;
   const ComparedRoutes routes = CompareRoutes(evidence, service, version);
   const ComparedCounts sum = SumOf(routes);
   if (FailureLogOdds(sum.target, sum.others) > kFaultLogOdds) {
-    return "failures";
+    return TargetFault{kFailures, "failures"};
   }
   if (IsSlow(sum.target, sum.others) ||
       SlowLogOdds(routes, OpenSends::kLeftOut).value_or(0.0) > kFaultLogOdds) {
-    return "slow";
+    return TargetFault{kSlow, "slow"};
   }
   for (const auto& [route, counts] : routes) {
     const auto& [target, others] = counts;
     if (FailureLogOdds(target, others) > kFaultLogOdds) {
-      return "failures on route " + route;
+      return TargetFault{kFailures, "failures on route " + route};
     }
     if (IsSlow(target, others) ||
         SlowLogOdds(target, others, OpenSends::kLeftOut).value_or(0.0) >
             kFaultLogOdds) {
-      return "slow on route " + route;
+      return TargetFault{kSlow, "slow on route " + route};
     }
   }
   return std::nullopt;
@@ -255,15 +259,48 @@
   });
 }
 
+auto RolloutGuard::IsConfirmed(Instant now,
+                               const VersionEvidence& evidence,
+                               OpenSends open_sends,
+                               Rollout& rollout) -> bool {
+  if (rollout.share < 1.0) {
+    return true;
+  }
+  if (!rollout.suspicion.has_value()) {
+    rollout.suspicion = Suspicion{now, evidence};
+    return false;
+  }
+  if (now - rollout.suspicion->since < kConfirmationTime) {
+    return false;
+  }
+  const RolloutOrder& order = rollout.record.order;
+  VersionEvidence since = evidence;
+  for (auto& [key, counts] : since) {
+    const auto before = rollout.suspicion->evidence.find(key);
+    if (key.version == order.target_version &&
+        before != rollout.suspicion->evidence.end()) {
+      const auto waiting = counts.waiting;
+      counts.Subtract(before->second);
+      counts.waiting = waiting;
+    }
+  }
+  rollout.suspicion = Suspicion{now, evidence};
+  return SlowLogOdds(CompareRoutes(since, order.service, order.target_version),
+                     open_sends)
+             .value_or(0.0) > 0.0;
+}
+
 auto RolloutGuard::Advance(Instant now,
                            const VersionEvidence& evidence,
                            Rollout& rollout) -> void {
   const RolloutOrder& order = rollout.record.order;
   const auto fault =
       FindVersionFault(evidence, order.service, order.target_version);
-  if (fault.has_value()) {
+  if (fault.has_value() &&
+      (fault->kind == TargetFault::Kind::kFailures ||
+       IsConfirmed(now, evidence, OpenSends::kLeftOut, rollout))) {
     rollout.state = RolloutState::kReverted;
-    rollout.reason = *fault;
+    rollout.reason = fault->text;
     return;
   }
   const ComparedRoutes routes =
@@ -274,8 +311,13 @@
   const double progress =
       std::chrono::duration<double>(elapsed) /
       std::chrono::duration<double>(std::max(order.duration, Duration(1)));
-  if (progress >= kCompletionFraction &&
-      slow_odds.value_or(0.0) > kFaultLogOdds) {
+  const bool seems_slow = progress >= kCompletionFraction &&
+                          slow_odds.value_or(0.0) > kFaultLogOdds;
+  if (!fault.has_value() && !seems_slow) {
+    rollout.suspicion.reset();
+  }
+  if (!fault.has_value() && seems_slow &&
+      IsConfirmed(now, evidence, OpenSends::kIncluded, rollout)) {
     rollout.state = RolloutState::kReverted;
     rollout.reason = "slow, with answers that have not begun";
     return;
--- a/src/libzinniastep/gateway/rollout_guard.h
+++ b/src/libzinniastep/gateway/rollout_guard.h
@@ -39,6 +39,24 @@
   std::string reason;
 };
 
+// Whether sends whose answer has not begun count as evidence.
+enum class OpenSends : std::uint8_t { kLeftOut, kIncluded };
+
+// What is wrong with a version.
+struct TargetFault {
+  enum class Kind : std::uint8_t { kFailures, kSlow };
+  Kind kind = Kind::kFailures;
+  // The fault, and the route if it shows on one route only.
+  std::string text;
+};
+
+// Returns why the version is worse than the others of its service, or nullopt
+// if no fault is found.
+[[nodiscard]] auto FindVersionFault(const VersionEvidence& evidence,
+                                    const ServiceId& service,
+                                    const std::string& version)
+    -> std::optional<TargetFault>;
+
 // Moves a service's traffic to a new version as long as the evidence supports
 // that version. During the first half of a roll-out all sessions stay on the
 // versions before; in the second half the share of sessions that use the target
@@ -80,6 +98,11 @@
   [[nodiscard]] auto IsRunning() const -> bool;
 
  private:
+  // A slow target, and the evidence by which it first seemed so.
+  struct Suspicion {
+    Instant since;
+    VersionEvidence evidence;
+  };
   struct Rollout {
     RolloutRecord record;
     Instant started_at;
@@ -89,21 +112,22 @@
     Duration next_at{0};
     RolloutState state = RolloutState::kRunning;
     std::string reason;
+    // Set while the target seems slow and no session uses another version.
+    std::optional<Suspicion> suspicion;
   };
 
+  // Whether a target that seems slow is to be reverted now. With all sessions
+  // on the target, answers since the first sign must be slow as well.
+  static auto IsConfirmed(Instant now,
+                          const VersionEvidence& evidence,
+                          OpenSends open_sends,
+                          Rollout& rollout) -> bool;
   auto Advance(Instant now, const VersionEvidence& evidence, Rollout& rollout)
       -> void;
 
   std::map<std::string, Rollout> rollouts_;
 };
 
-// Returns why the version is worse than the others of its service, or nullopt
-// if no fault is found.
-[[nodiscard]] auto FindVersionFault(const VersionEvidence& evidence,
-                                    const ServiceId& service,
-                                    const std::string& version)
-    -> std::optional<std::string>;
-
 }  // namespace zinniastep
 
 #endif  // LIBZINNIASTEP_GATEWAY_ROLLOUT_GUARD_H_
