--- a/scripts/play-sites.sh
+++ b/scripts/play-sites.sh
@@ -18,10 +18,8 @@
 plays=(
   "sites/coopline 40"
   "sites/pssc-zinnia 40"
-  "further/giaybay-fleet 40"
   "grown/coopline-grown 8"
   "grown/pssc-zinnia-grown 8"
-  "further-grown/giaybay-fleet-grown 8"
   "large/coopline-large 8"
 )
 
