--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -20,6 +20,7 @@
 #include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/gateway/model_choice.h"
 #include "libzinniastep/gateway/repeat_budget.h"
+#include "libzinniastep/gateway/request_durations.h"
 #include "libzinniastep/gateway/server_chooser.h"
 #include "libzinniastep/gateway/shutdown_decision.h"
 #include "libzinniastep/runtime/metrics.h"
