Count a header's number that does not fit as the largest

Seen: a caller that stated one of four times from 2^63 / 1000 ms on had no time: its server was told 0 ms. A server that reported a load of 2^32 was taken as free and got the next request too.

Cause: WholeNumber gave 64 bits. As milliseconds they do not fit in a Duration (signed overflow), as load and confidence they were cut to 32 bits; a number of more than 64 bits was ignored instead.

Why it works: a number has 32 bits from the start and is capped there, so that every use of it fits: seconds of Keep-Alive and milliseconds too.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -60,7 +60,7 @@
     if (!value.has_value()) {
       return std::nullopt;
     }
-    number = static_cast<std::uint32_t>(*value);
+    number = *value;
     text = comma == std::string_view::npos ? std::string_view()
                                            : text.substr(comma + 1);
   }
@@ -411,8 +411,7 @@
       engine_.chooser().Utilization(engine_.Now(), service_),
       engine_.DelayOf(service_).lateness(),
       progress_.most_servers - progress_.servers_used - 1};
-  const auto next =
-      NextModel(state, model_, static_cast<std::uint32_t>(*confidence));
+  const auto next = NextModel(state, model_, *confidence);
   if (!next.has_value()) {
     return false;
   }
--- a/src/libzinniastep/traffic/http_text.cc
+++ b/src/libzinniastep/traffic/http_text.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -76,14 +77,16 @@
   }
 }
 
-auto WholeNumber(std::string_view text) -> std::optional<std::uint64_t> {
-  std::uint64_t value = 0;
+auto WholeNumber(std::string_view text) -> std::optional<std::uint32_t> {
+  std::uint32_t value = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) {
+  if (error == std::errc::invalid_argument ||
+      end != text.data() + text.size()) {
     return std::nullopt;
   }
-  return value;
+  return error == std::errc() ? value
+                              : std::numeric_limits<std::uint32_t>::max();
 }
 
 }  // namespace zinniastep
--- a/src/libzinniastep/traffic/http_text.h
+++ b/src/libzinniastep/traffic/http_text.h
@@ -55,9 +55,10 @@
 // Removes the headers that concern one connection only.
 auto EraseHopByHop(boost::beast::http::fields& fields) -> void;
 
-// Returns the whole number that a header holds, or nothing.
+// Returns the whole number that a header holds, or nothing. One that does not
+// fit counts as the largest, so that it also fits in a Duration as seconds.
 [[nodiscard]] auto WholeNumber(std::string_view text)
-    -> std::optional<std::uint64_t>;
+    -> std::optional<std::uint32_t>;
 
 // Returns whether two header names are the same.
 [[nodiscard]] auto SameName(std::string_view a, std::string_view b) -> bool;
--- a/tests/traffic/forwarding_test.cc
+++ b/tests/traffic/forwarding_test.cc
@@ -36,6 +36,43 @@
   EXPECT_LE(std::stoi(HeaderOf(sent, "Zinniastep-Time-Remaining-Ms")), 15000);
 }
 
+TEST(Forwarding, ACallerWithMoreTimeThanFitsHasItsRoutesTime) {
+  const ScriptedServer server([](const std::string&) {
+    return ScriptedAnswer{Answer("200 OK", "", "hi")};
+  });
+  EngineHost host({&server});
+  for (const std::string time :
+       {"9223372036854776", "9223372036854775807", "9223372036854775808",
+        "18446744073709551615", "99999999999999999999999"}) {
+    std::string request = EngineHost::Request("/once/");
+    request.replace(request.find("15000"), 5, time);
+    EXPECT_EQ(host.CallUntil(request, std::chrono::seconds(3)).status, 200)
+        << time;
+    const std::vector<std::string> sent = server.requests();
+    EXPECT_GT(
+        std::stoll(sent.empty()
+                       ? "0"
+                       : HeaderOf(sent.back(), "Zinniastep-Time-Remaining-Ms")),
+        10'000)
+        << time;
+  }
+  EXPECT_EQ(server.requests().size(), 5U);
+}
+
+TEST(Forwarding, AServerWithMoreLoadThanFitsIsNotTakenAsFree) {
+  const auto script = [](const std::string&) {
+    return ScriptedAnswer{
+        Answer("200 OK", "Zinniastep-Server-Load: 4294967296,0,4\r\n", "")};
+  };
+  const ScriptedServer first(script);
+  const ScriptedServer second(script);
+  EngineHost host({&first, &second});
+  EXPECT_EQ(host.Call(EngineHost::Request("/once/")).status, 200);
+  EXPECT_EQ(host.Call(EngineHost::Request("/once/")).status, 200);
+  EXPECT_EQ(first.requests().size(), 1U);
+  EXPECT_EQ(second.requests().size(), 1U);
+}
+
 TEST(Forwarding, UnknownKeysAndRoutesReachNoServer) {
   const ScriptedServer server([](const std::string&) {
     return ScriptedAnswer{Answer("200 OK", "", "")};
