Take no peer's answer of the store from the future

Seen: in a trial of 60 hosts, after a digest with an age of 1.8e16 ms only 3 hosts read the store 10 s later; without it all 60 do. Nobody takes over from readers that the store does not answer: changes are not followed.

Cause: the age is a peer's 64-bit number. As milliseconds it does not fit in a Duration (signed overflow), and the answer came to lie in the future, newer than any other. The host then passed it on with an age of 0.

Evidence: the new test in store_reader_role_test failed before for 1.8e16 (3 of 60 hosts); 2^64 - 1 passed by chance.

--- a/src/libzinniastep/gateway/store_reader_role.cc
+++ b/src/libzinniastep/gateway/store_reader_role.cc
@@ -25,6 +25,8 @@
 constexpr Duration kReaderTimeout = std::chrono::seconds(3);
 constexpr Duration kTakeOverStep = std::chrono::milliseconds(150);
 constexpr std::size_t kTakeOverRanks = 40;
+// A peer's older answer counts as one of this age, far beyond the timeout.
+constexpr std::uint64_t kMostAgeMs = 86'400'000;
 
 }  // namespace
 
@@ -43,8 +45,8 @@
   if (digest.store_reader == self_ || digest.store_reader.empty()) {
     return;
   }
-  const Instant answered_at =
-      now - std::chrono::milliseconds(digest.store_age_ms);
+  const Instant answered_at = now - std::chrono::milliseconds(std::min(
+                                        digest.store_age_ms, kMostAgeMs));
   if (answered_at > peer_answer_at_) {
     peer_reader_ = digest.store_reader;
     peer_answer_at_ = answered_at;
--- a/tests/gateway/store_reader_role_test.cc
+++ b/tests/gateway/store_reader_role_test.cc
@@ -1,5 +1,7 @@
 #include "libzinniastep/gateway/store_reader_role.h"
 
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -69,6 +71,18 @@
   EXPECT_EQ(CountReaders(roles, At(12'000)), kHosts);
 }
 
+TEST(StoreReaderRole, AnAgeThatDoesNotFitIsNoAnswerFromTheFuture) {
+  for (const std::uint64_t age_ms :
+       {std::uint64_t{18'000'000'000'000'000},
+        std::numeric_limits<std::uint64_t>::max()}) {
+    std::vector<StoreReaderRole> roles = Roles(kHosts);
+    for (StoreReaderRole& role : roles) {
+      role.OnDigest(At(2000), ReaderDigest("h3", age_ms));
+    }
+    EXPECT_EQ(CountReaders(roles, At(12'000)), kHosts) << age_ms;
+  }
+}
+
 TEST(StoreReaderRole, ARecentAnswerToAPeerKeepsOtherHostsFromReading) {
   std::vector<StoreReaderRole> roles = Roles(kHosts);
   for (StoreReaderRole& role : roles) {
