Tell callers of the entry host when its shutdown ends their requests

Seen by callers: a call that was still open when zinniastepd's longest shutdown (two minutes) was over got no answer at all, whether it had run or not; its key stayed claimed, without a verdict.

Cause: Shutdown::IsOver lets the process end at the longest time with work open, and nothing ended that work before.

Change: 0.5 s before the longest time the node ends each open request. One that was never sent is refused as `draining`, not run, and its ask for a claim or a credit is withdrawn. One with an attempt is answered 502 `cut_by_shutdown`, unknown: the attempt is cancelled, its credit returned, its claim marked unknown and its bill recorded. A begun stream gets the refusal as its last event, without the end marker. One that waits for its bill is answered unknown too, since no answer goes out before its bill is safe. The process then stays until the longest time, so that the answers are written. A refusal may now meet a stream that its attempt begins at that moment, so AttemptRunner::Refuse tries the whole answer first and falls back on the event.

The change in AttemptRunner has no test of its own; no process test plays the two minutes.

--- a/src/libzinniastep/node/node.cc
+++ b/src/libzinniastep/node/node.cc
@@ -225,6 +225,11 @@
   }
 
   auto CheckShutdown(Instant now, Effects& effects) -> void {
+    if (shutdown.MustEndRequests(now)) {
+      effects.Log("shutdown_ends_requests",
+                  {{"open_requests", std::to_string(requests.open())}});
+      requests.EndAll(now, effects);
+    }
     const OpenWork open{requests.open(), claims.open_reports(),
                         bills.unflushed()};
     if (shutdown.IsOver(now, open)) {
--- a/src/libzinniastep/node/shutdown.cc
+++ b/src/libzinniastep/node/shutdown.cc
@@ -2,6 +2,13 @@
 
 namespace zinniastep {
 
+namespace {
+
+// Open requests are ended this long before the longest time is over.
+constexpr Duration kAnswerReserve = std::chrono::milliseconds(500);
+
+}  // namespace
+
 Shutdown::Shutdown(Duration address_time_to_live, Duration longest)
     : address_time_to_live_(address_time_to_live), longest_(longest) {}
 
@@ -13,13 +20,22 @@
   return true;
 }
 
+auto Shutdown::MustEndRequests(Instant now) -> bool {
+  if (!began_.has_value() || ending_requests_ || over_) {
+    return false;
+  }
+  ending_requests_ = now - *began_ >= longest_ - kAnswerReserve;
+  return ending_requests_;
+}
+
 auto Shutdown::IsOver(Instant now, const OpenWork& open) -> bool {
   if (!began_.has_value() || over_) {
     return false;
   }
   const Duration elapsed = now - *began_;
   const bool forgotten = elapsed >= address_time_to_live_;
-  over_ = (forgotten && open.none()) || elapsed >= longest_;
+  const bool done = forgotten && open.none() && !ending_requests_;
+  over_ = done || elapsed >= longest_;
   return over_;
 }
 
--- a/src/libzinniastep/node/shutdown.h
+++ b/src/libzinniastep/node/shutdown.h
@@ -20,7 +20,8 @@
 };
 
 // A graceful shutdown: no new work, all open work to its end, and no end
-// before callers have forgotten this host's address.
+// before callers have forgotten this host's address. Requests that are still
+// open shortly before the longest time are ended, so that callers are told.
 class Shutdown {
  public:
   Shutdown(Duration address_time_to_live, Duration longest);
@@ -31,6 +32,10 @@
 
   [[nodiscard]] auto begun() const -> bool { return began_.has_value(); }
 
+  // Returns true once, when the requests that are still open must be ended. The
+  // time from then on is for writing their answers.
+  auto MustEndRequests(Instant now) -> bool;
+
   // Returns true once, when the process may end.
   auto IsOver(Instant now, const OpenWork& open) -> bool;
 
@@ -38,6 +43,7 @@
   Duration address_time_to_live_;
   Duration longest_;
   std::optional<Instant> began_;
+  bool ending_requests_ = false;
   bool over_ = false;
 };
 
--- a/src/libzinniastep/request/refusals.cc
+++ b/src/libzinniastep/request/refusals.cc
@@ -66,4 +66,10 @@
           state, kSoon};
 }
 
+auto RefusedCutByShutdown() -> Refusal {
+  return {502, "cut_by_shutdown",
+          "this host's time to shut down was over before the answer's end",
+          RunState::kUnknown, kSoon};
+}
+
 }  // namespace zinniastep
--- a/src/libzinniastep/request/refusals.h
+++ b/src/libzinniastep/request/refusals.h
@@ -5,7 +5,8 @@
 
 namespace zinniastep {
 
-// The refusals of this aggregate. Those without a parameter say "not run".
+// The refusals of this aggregate. Those without a parameter say "not run",
+// except that RefusedCutByShutdown says "unknown".
 [[nodiscard]] auto RefusedDraining() -> Refusal;
 [[nodiscard]] auto RefusedWithoutNews() -> Refusal;
 [[nodiscard]] auto RefusedUnauthenticated() -> Refusal;
@@ -17,6 +18,7 @@
 [[nodiscard]] auto RefusedNoCapacity(RunState state) -> Refusal;
 [[nodiscard]] auto RefusedBackendFailed(RunState state) -> Refusal;
 [[nodiscard]] auto RefusedCut(RunState state) -> Refusal;
+[[nodiscard]] auto RefusedCutByShutdown() -> Refusal;
 
 }  // namespace zinniastep
 
--- a/src/libzinniastep/request/request_book.cc
+++ b/src/libzinniastep/request/request_book.cc
@@ -42,4 +42,13 @@
   return due;
 }
 
+auto RequestBook::All() const -> std::vector<RequestId> {
+  std::vector<RequestId> all;
+  all.reserve(requests_.size());
+  for (const auto& [id, request] : requests_) {
+    all.push_back(id);
+  }
+  return all;
+}
+
 }  // namespace zinniastep
--- a/src/libzinniastep/request/request_book.h
+++ b/src/libzinniastep/request/request_book.h
@@ -36,6 +36,9 @@
   // Returns the requests that wait to ask for a credit until `now`.
   [[nodiscard]] auto DueToAsk(Instant now) const -> std::vector<RequestId>;
 
+  // Returns all requests.
+  [[nodiscard]] auto All() const -> std::vector<RequestId>;
+
   [[nodiscard]] auto size() const -> std::size_t { return requests_.size(); }
 
  private:
--- a/src/libzinniastep/request/request_flow.cc
+++ b/src/libzinniastep/request/request_flow.cc
@@ -6,6 +6,7 @@
 #include "libzinniastep/billing/bill_book.h"
 #include "libzinniastep/claim/claim_desk.h"
 #include "libzinniastep/report/decision_log.h"
+#include "libzinniastep/request/refusals.h"
 #include "libzinniastep/steward/credits.h"
 
 namespace zinniastep {
@@ -209,6 +210,44 @@
   Apply(now, services_.admission.OnTime(now), effects);
 }
 
+auto RequestFlow::EndAll(Instant now, Effects& effects) -> void {
+  for (const RequestId& id : book_.All()) {
+    if (Request* request = book_.Find(id)) {
+      End(now, *request, effects);
+    }
+  }
+}
+
+auto RequestFlow::End(Instant now, Request& request, Effects& effects) -> void {
+  switch (request.phase) {
+    case RequestPhase::kClaiming:
+      services_.claims.GiveBack(now, request.id, effects);
+      break;
+    case RequestPhase::kAskingCredit:
+      services_.credits.Cancel(now, request.id, effects);
+      break;
+    case RequestPhase::kQueued:
+    case RequestPhase::kWaiting:
+      break;
+    case RequestPhase::kRunning: {
+      AttemptEnded ended;
+      ended.attempt = request.attempt->id;
+      ended.outcome = AttemptOutcome::kCancelled;
+      effects.Do(CancelAttempt{ended.attempt});
+      settlement_.OnAttemptEnded(now, request, ended, effects);
+      break;
+    }
+    case RequestPhase::kSecuringBill:
+      // Its bill is recorded; an answer must not go out before that is safe.
+      effects.Do(
+          RefuseCall{request.arrival.call, RefusedCutByShutdown(), request.id});
+      Forget(now, request.id, effects);
+      return;
+  }
+  Fail(now, request,
+       request.sent_once ? RefusedCutByShutdown() : RefusedDraining(), effects);
+}
+
 auto RequestFlow::Carry(Instant now,
                         Request& request,
                         Progress progress,
--- a/src/libzinniastep/request/request_flow.h
+++ b/src/libzinniastep/request/request_flow.h
@@ -45,6 +45,10 @@
       -> void;
   auto OnTime(Instant now, Effects& effects) -> void;
 
+  // Ends all requests since the host's time is over: those that were never sent
+  // as not run, the others as unknown.
+  auto EndAll(Instant now, Effects& effects) -> void;
+
   auto OnRated(const AnswerRated& rated) -> void { ratings_.OnRated(rated); }
 
   // Sets the minute, since 1970, that bills from now on are filed under.
@@ -65,6 +69,7 @@
             Request& request,
             const Refusal& refusal,
             Effects& effects) -> void;
+  auto End(Instant now, Request& request, Effects& effects) -> void;
   auto Forget(Instant now, const RequestId& id, Effects& effects) -> void;
   auto Carry(Instant now, Request& request, Progress progress, Effects& effects)
       -> void;
--- a/src/libzinniastep/runtime/attempt_runner.cc
+++ b/src/libzinniastep/runtime/attempt_runner.cc
@@ -138,15 +138,14 @@
   metrics_.Count("refused_" + action.refusal.code);
   StreamWriter& writer = *call->writer;
   const std::string body = RefusalBody(action.refusal);
-  if (writer.begun()) {
-    writer.Write("data: " + body + "\n\n");
-    writer.End();
-    return;
-  }
   const std::vector<HttpHeader> headers = {
       {"Content-Type", "application/json"},
       {"X-Request-Id", ToString(action.request)}};
-  writer.Send(action.refusal.status, headers, body);
+  // An attempt that is still being cancelled may begin the stream meanwhile.
+  if (!writer.Send(action.refusal.status, headers, body)) {
+    writer.Write("data: " + body + "\n\n");
+    writer.End();
+  }
 }
 
 }  // namespace zinniastep
--- a/tests/support/node_fleet.cc
+++ b/tests/support/node_fleet.cc
@@ -408,7 +408,7 @@
   ended.answer = std::make_shared<Answer>(Answer{
       ended.status, "application/json", ToString(start.attempt.request)});
   Reach(Step::kAttemptReached, host);
-  time_.After(kRunTime,
+  time_.After(kRunTime + extra_run_time,
               [this, host, incarnation, ended, start, refused]() mutable {
                 if (refused == 0) {
                   backends_.at(start.server).End(now());
--- a/tests/support/node_fleet.h
+++ b/tests/support/node_fleet.h
@@ -99,6 +99,8 @@
   bool delay_messages = false;
   bool store_down = false;
   bool lose_store_answers = false;
+  // Backend servers run later attempts for this much longer.
+  Duration extra_run_time{0};
 
   // Breaks a rule on purpose: attempts reach the backend server twice, answers
   // go to the next caller, bills are lost in the object API, no host passes
