--- a/src/libzinniastep/node/node_options.h
+++ b/src/libzinniastep/node/node_options.h
@@ -33,8 +33,8 @@
   std::vector<std::string> session_keys;
   // How long callers may keep an answer about addresses.
   Duration address_time_to_live = std::chrono::seconds(5);
-  // Longest graceful shutdown; what is still open shortly
-  // before is ended, and its callers are told.
+  // Longest graceful shutdown; what is still open shortly before is ended, and
+  // its callers are told.
   Duration longest_shutdown = std::chrono::minutes(2);
   // Addresses that one answer names.
   std::size_t most_addresses = 8;
--- a/tests/node/shutdown_end_test.cc
+++ b/tests/node/shutdown_end_test.cc
@@ -30,8 +30,7 @@
 
 class ShutdownEndTest : public ::testing::TestWithParam<std::uint64_t> {};
 
-// What is open when the longest shutdown is over was cut without a word, so
-// that callers could not tell what had run.
+// Guards against requests that end without a word when the time is over.
 TEST_P(ShutdownEndTest, CallersLearnWhatBecameOfOpenRequests) {
   NodeFleet fleet(GetParam(), kHosts);
   fleet.RunFor(kStart);
