Log that a server ended, and the prompt parts of broken sends

No line or metric told the end of a server from that of a connection, and none named a prompt part, so that the hypotheses of the incident could not be told apart. After a broken send the host opens a connection to the server: nothing listens at a server that has ended. Broken sends that came meanwhile are counted with it, apart by whether a part of the answer had come.

--- a/src/libzinniastep/gateway/prompt_shape.cc
+++ b/src/libzinniastep/gateway/prompt_shape.cc
@@ -52,6 +52,9 @@
       break;
     }
     shape.shared = StableHash(id, shape.shared);
+    if (shape.shared_parts.size() < kMaxSharedParts) {
+      shape.shared_parts.push_back(ReadPromptPartId(id));
+    }
     if (colon != std::string_view::npos) {
       shape.shared_tokens += Number(entries[index].substr(colon + 1));
     }
--- a/src/libzinniastep/gateway/prompt_shape.h
+++ b/src/libzinniastep/gateway/prompt_shape.h
@@ -1,8 +1,12 @@
 #ifndef LIBZINNIASTEP_GATEWAY_PROMPT_SHAPE_H_
 #define LIBZINNIASTEP_GATEWAY_PROMPT_SHAPE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
+#include <vector>
+
+#include "libzinniastep/gateway/prompt_part.h"
 
 namespace zinniastep {
 
@@ -18,8 +22,14 @@
   std::uint64_t session = 0;
   double prompt_tokens = 0.0;
   double output_tokens = 0.0;
+  // All parts but the last, which belongs to the request or its session alone;
+  // in order, and at most kMaxSharedParts of them.
+  std::vector<PromptPartId> shared_parts;
 };
 
+// A longer prompt's first parts count.
+inline constexpr std::size_t kMaxSharedParts = 64;
+
 // Reads a prompt's parts ("ID:TOKENS,ID:TOKENS") and counts ("PROMPT,OUTPUT").
 // Values that cannot be parsed stay zero, since they are only hints.
 [[nodiscard]] auto ReadPromptShape(std::string_view parts,
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -641,13 +641,31 @@
         {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
         {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
         {"events", std::to_string(events_passed_)},
+        {"parts", outcome == SendOutcome::kBroken ? ToText(prompt_.shared_parts)
+                                                  : std::string()},
         {"next", tries_another ? "another" : "give_up"},
         {"reason", std::string(obstacle.has_value() ? ToString(*obstacle)
                                                     : std::string_view())}}});
+  if (outcome == SendOutcome::kBroken) {
+    ReportBroken(now);
+  }
   FinishAttempt(outcome);
   TakeStep(step);
 }
 
+auto Forwarder::ReportBroken(Instant now) -> void {
+  const bool was_answered = clocks_.events() > 0 || !body_.empty();
+  std::optional<UnansweredSend> unanswered;
+  if (!was_answered) {
+    // Callers may use an id again.
+    const auto began =
+        static_cast<std::uint64_t>(began_.time_since_epoch().count());
+    unanswered = {StableHash(request_id_, began), prompt_.shared_parts,
+                  sent_at_, now};
+  }
+  engine_.OnSendBroken(*server_, std::move(unanswered));
+}
+
 auto Forwarder::TakeStep(const NextStep& step) -> void {
   std::visit(
       Overloaded{[this](const TryAnother&) { Dispatch(); },
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -75,6 +75,8 @@
       -> std::string;
   auto OnAttemptOver(SendOutcome outcome) -> void;
   auto FinishAttempt(SendOutcome outcome) -> void;
+  // Reports that the connection of the send under way broke.
+  auto ReportBroken(Instant now) -> void;
   auto TakeStep(const NextStep& step) -> void;
   auto Escalate() -> bool;
   auto TakeEvents(std::string_view bytes) -> void;
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -9,6 +9,7 @@
 
 #include "libzinniastep/traffic/delivery_watch.h"
 #include "libzinniastep/traffic/forwarder.h"
+#include "libzinniastep/traffic/server_probe.h"
 
 namespace zinniastep {
 
@@ -17,6 +18,9 @@
 // Part of the fleet's bound on repeats that hosts use; the rest is for requests
 // that callers sent and that reached no host.
 constexpr double kBudgetUsed = 0.9;
+// A server that listens, and a machine on which nothing does, answer within a
+// round trip.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(350);
 
 }  // namespace
 
@@ -126,6 +130,31 @@
   evidence_[key].Add(counts);
 }
 
+auto TrafficEngine::OnSendBroken(const BackendEntry& server,
+                                 std::optional<UnansweredSend> unanswered)
+    -> void {
+  if (!endings_.OnBroken(server.id, std::move(unanswered))) {
+    return;
+  }
+  ProbeServer(
+      io_, server.address, kProbeTimeout, [this, server](ProbeResult result) {
+        metrics_.Count("server_probes_" + std::string(ToString(result)));
+        if (const auto broken = endings_.OnProbe(server.id, result)) {
+          OnServerEnded(server, *broken);
+        }
+      });
+}
+
+auto TrafficEngine::OnServerEnded(const BackendEntry& server,
+                                  const BrokenSends& broken) -> void {
+  metrics_.Count("servers_ended");
+  Log({"server_ended",
+       {{"server", server.id.text()},
+        {"service", server.service.text()},
+        {"answered", std::to_string(broken.answered)},
+        {"unanswered", std::to_string(broken.unanswered.size())}}});
+}
+
 auto TrafficEngine::OnRequestBegun(std::shared_ptr<Forwarder> forwarder)
     -> void {
   active_.insert(std::move(forwarder));
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -16,6 +16,7 @@
 #include "libzinniastep/core/action.h"
 #include "libzinniastep/gateway/answer_clock.h"
 #include "libzinniastep/gateway/backend_entry.h"
+#include "libzinniastep/gateway/ending_watch.h"
 #include "libzinniastep/gateway/gateway_settings.h"
 #include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/gateway/model_choice.h"
@@ -102,6 +103,10 @@
   auto RecordDuration(const std::string& route, Duration duration) -> void {
     durations_.Record(route, duration);
   }
+  // Notes that a send to the server broke, and finds out whether the server has
+  // ended. `unanswered` is empty if a part of the answer had come.
+  auto OnSendBroken(const BackendEntry& server,
+                    std::optional<UnansweredSend> unanswered) -> void;
   // Returns an id for a request whose caller sent none: 16 hexadecimal digits.
   [[nodiscard]] auto DrawRequestId() -> std::string;
   auto Log(const LogEvent& event) -> void { log_(event); }
@@ -116,6 +121,9 @@
   [[nodiscard]] auto metrics() -> Metrics& { return metrics_; }
 
  private:
+  auto OnServerEnded(const BackendEntry& server, const BrokenSends& broken)
+      -> void;
+
   boost::asio::io_context& io_;
   GatewaySettings settings_;
   ForwardingHeaders headers_;
@@ -131,6 +139,7 @@
   AnswerClock answer_clock_{evidence_};
   std::set<std::shared_ptr<Forwarder>> active_;
   RequestDurations durations_;
+  EndingWatch endings_;
   std::optional<Instant> shutdown_end_;
   bool refusing_ = false;
 };
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -270,6 +270,12 @@
   return promise.get_future().get();
 }
 
+auto EngineHost::Counted(const std::string& counter) -> std::uint64_t {
+  const MetricsSnapshot metrics = metrics_.Snapshot();
+  const auto found = metrics.counters.find(counter);
+  return found == metrics.counters.end() ? 0 : found->second;
+}
+
 auto EngineHost::CountedAnswers() -> std::uint64_t {
   std::promise<std::uint64_t> answers;
   asio::post(io_, [this, &answers] {
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -89,6 +89,9 @@
   // Replaces the view by a copy that was changed, on the engine's thread.
   auto ChangeView(const std::function<void(TrafficView&)>& change) -> void;
 
+  // Value of a counter of the host's metrics.
+  auto Counted(const std::string& counter) -> std::uint64_t;
+
   // Values of a field in all log events of that name so far.
   auto Logged(const std::string& event, const std::string& field)
       -> std::vector<std::string>;
--- a/tests/traffic/scripted_server.cc
+++ b/tests/traffic/scripted_server.cc
@@ -44,6 +44,8 @@
 ScriptedServer::ScriptedServer(Script script)
     : acceptor_(io_,
                 Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+      endpoint_(acceptor_.local_endpoint()),
+      restart_(io_),
       script_(std::move(script)) {
   Accept();
   thread_ = std::thread([this] { io_.run(); });
@@ -55,7 +57,7 @@
 }
 
 auto ScriptedServer::address() const -> std::string {
-  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  return "127.0.0.1:" + std::to_string(endpoint_.port());
 }
 
 auto ScriptedServer::requests() const -> std::vector<std::string> {
@@ -67,12 +69,33 @@
   acceptor_.async_accept(
       [this](boost::system::error_code error, Tcp::socket socket) {
         if (!error) {
-          Read(std::make_shared<Session>(std::move(socket)));
+          auto session = std::make_shared<Session>(std::move(socket));
+          sessions_.push_back(session);
+          Read(session);
           Accept();
         }
       });
 }
 
+auto ScriptedServer::EndFor(std::chrono::milliseconds time) -> void {
+  ++endings_;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& weak : sessions_) {
+    if (const auto session = weak.lock()) {
+      session->socket.close(ignored);
+    }
+  }
+  sessions_.clear();
+  restart_.expires_after(time);
+  restart_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      acceptor_ = Tcp::acceptor(io_, endpoint_);
+      Accept();
+    }
+  });
+}
+
 auto ScriptedServer::Read(const std::shared_ptr<Session>& session) -> void {
   session->socket.async_read_some(
       boost::asio::buffer(session->chunk),
@@ -108,6 +131,10 @@
           SendLater(session, answer.rest, answer.rest_after);
           return;
         }
+        if (answer.end_for.count() > 0) {
+          EndFor(answer.end_for);
+          return;
+        }
         if (answer.close) {
           session->socket.close(ignored);
           return;
--- a/tests/traffic/scripted_server.h
+++ b/tests/traffic/scripted_server.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace zinniastep::testing {
 
@@ -32,6 +33,9 @@
   // nothing until then.
   std::string rest = {};
   std::chrono::milliseconds rest_after{0};
+  // Closes all connections and listens no more for this long; a server that
+  // ends with its requests.
+  std::chrono::milliseconds end_for{0};
 };
 
 // A backend server on loopback that answers as the test says, and keeps what
@@ -48,6 +52,8 @@
 
   [[nodiscard]] auto address() const -> std::string;
   [[nodiscard]] auto requests() const -> std::vector<std::string>;
+  // How often the server ended.
+  [[nodiscard]] auto endings() const -> int { return endings_; }
   // Connections that their sender closed while a request was unanswered, or
   // while its answer went on without an end.
   [[nodiscard]] auto abandoned() const -> int { return abandoned_; }
@@ -59,6 +65,7 @@
 
   auto Accept() -> void;
   auto Read(const std::shared_ptr<Session>& session) -> void;
+  auto EndFor(std::chrono::milliseconds time) -> void;
   auto Drip(const std::shared_ptr<Session>& session) -> void;
   auto SendLater(const std::shared_ptr<Session>& session,
                  const std::string& bytes,
@@ -66,10 +73,14 @@
 
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  boost::asio::steady_timer restart_;
+  std::vector<std::weak_ptr<Session>> sessions_;
   Script script_;
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::atomic<int> abandoned_ = 0;
+  std::atomic<int> endings_ = 0;
   std::atomic<std::size_t> dripped_ = 0;
   std::thread thread_;
 };
