--- /dev/null
+++ b/tests/traffic/crashing_part_test.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "tests/traffic/answer_texts.h"
+#include "tests/traffic/engine_host.h"
+#include "tests/traffic/scripted_server.h"
+
+namespace zinniastep::testing {
+namespace {
+
+constexpr std::chrono::milliseconds kDownTime{400};
+
+// Servers that end as soon as they begin an answer to a prompt with the part
+// "bad". The other parts are answered.
+class CrashingPartTest : public ::testing::Test {
+ protected:
+  CrashingPartTest() {
+    for (int index = 0; index < 8; ++index) {
+      servers_.push_back(
+          std::make_unique<ScriptedServer>([](const std::string& request) {
+            ScriptedAnswer answer;
+            answer.bytes = StreamHead();
+            if (HeaderOf(request, "Zinniastep-Prompt-Prefix").find("bad:") !=
+                std::string::npos) {
+              answer.end_for = kDownTime;
+              return answer;
+            }
+            answer.bytes += Chunk(Event(1)) + kLastChunk;
+            return answer;
+          }));
+    }
+    std::vector<const ScriptedServer*> servers;
+    for (const auto& server : servers_) {
+      servers.push_back(server.get());
+    }
+    host_ = std::make_unique<EngineHost>(servers);
+  }
+
+  // Calls with a prompt of these parts and one of its own.
+  auto Call(const std::string& parts) -> CallerAnswer {
+    const std::string own = std::to_string(++calls_);
+    return host_->Call(EngineHost::Request(
+        "/stall/", "Zinniastep-Prompt-Prefix: " + parts + ",e" + own +
+                       ":9\r\nZinniastep-Token-Count: 100,10\r\n"));
+  }
+
+  [[nodiscard]] auto Endings() const -> int {
+    int endings = 0;
+    for (const auto& server : servers_) {
+      endings += server->endings();
+    }
+    return endings;
+  }
+
+  std::vector<std::unique_ptr<ScriptedServer>> servers_;
+  std::unique_ptr<EngineHost> host_;
+  int calls_ = 0;
+};
+
+TEST_F(CrashingPartTest, RequestsWithThePartStopReachingServers) {
+  for (int round = 0; round < 10; ++round) {
+    (void)Call("aa:50,bb:20,bad:5");
+    EXPECT_EQ(Call("aa:50,c" + std::to_string(round) + ":20").status, 200);
+  }
+  EXPECT_LE(Endings(), 5);
+  const CallerAnswer refused = Call("aa:50,dd:20,bad:5");
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(refused.head.find("Zinniastep-Server-Signature"),
+            std::string::npos);
+}
+
+TEST_F(CrashingPartTest, RequestsThatShareTheOtherPartsAreServed) {
+  for (int round = 0; round < 6; ++round) {
+    (void)Call("aa:50,bb:20,bad:5");
+  }
+  EXPECT_EQ(Call("aa:50").status, 200);
+  EXPECT_EQ(Call("aa:50,bb:20").status, 200);
+  EXPECT_EQ(Call("bad:5,bb:20,aa:50").status, 503);
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
