--- a/src/libzinniastep/gateway/messages.h
+++ b/src/libzinniastep/gateway/messages.h
@@ -80,6 +80,48 @@
   }
 };
 
+// A send that was unanswered when its server ended. Ages are as of the time of
+// sending, in microseconds; the masks have a bit for each part.
+struct CrashRow {
+  std::uint64_t id = 0;
+  std::uint64_t request = 0;
+  std::uint64_t server = 0;
+  std::uint64_t age_us = 0;
+  std::uint64_t took_us = 0;
+  std::vector<std::uint64_t> parts;
+  std::uint32_t known = 0;
+  std::uint32_t cleared = 0;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(id, request, server, age_us, took_us, parts, known, cleared);
+  }
+};
+
+// How many trials of a held prompt part have begun, and the age of the last.
+struct TrialRow {
+  std::uint64_t part = 0;
+  std::uint32_t count = 0;
+  std::uint64_t age_us = 0;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(part, count, age_us);
+  }
+};
+
+// Evidence about prompt parts that crash servers. Rows are merged: a row only
+// ever gains cleared parts, and a part only ever gains trials.
+struct CrashReport {
+  std::vector<CrashRow> rows;
+  std::vector<TrialRow> trials;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(rows, trials);
+  }
+};
+
 // The gateway's messages between hosts.
 using GatewayMessage = std::variant<std::monostate,
                                     HostDigest,
