Refuse requests with prompt parts that crash servers

Cause: a request that ends its server was treated as the victim of its server. It was sent to as many servers as its route allows, and nothing remembered what it shared with the one before, here or at other hosts.

The host now notes the prompt parts of sends that were unanswered when a server ended, exchanges them with its peers, and refuses what they convict as not run, with the time of the next trial. What is at a server unanswered is withdrawn. Operators list and release held parts at the metrics address, with a proof by the fleet's key.

--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -80,6 +80,10 @@
       return "undelivered";
     case GiveUpReason::kOverBudget:
       return "over_budget";
+    case GiveUpReason::kTrial:
+      return "trial";
+    case GiveUpReason::kHeldParts:
+      return "held_parts";
     case GiveUpReason::kNoServer:
       return "no_server";
   }
@@ -95,6 +99,9 @@
   if (!MayRunAgain(progress)) {
     return GiveUpReason::kNotRepeatable;
   }
+  if (progress.is_trial && progress.servers_used > 0) {
+    return GiveUpReason::kTrial;
+  }
   // Another send to a server that was used already reaches no further server.
   if (progress.servers_used >= progress.most_servers && !progress.may_return) {
     return GiveUpReason::kAttemptsUsed;
--- a/src/libzinniastep/gateway/forward_decision.h
+++ b/src/libzinniastep/gateway/forward_decision.h
@@ -44,6 +44,8 @@
   std::uint32_t undelivered_sends = 0;
   // A server that was left before it had answered can be asked again.
   bool may_return = false;
+  // The request is a trial of held prompt parts.
+  bool is_trial = false;
   // A server may have begun to run the request.
   bool may_have_run = false;
   // The caller has received a part of the answer.
@@ -87,6 +89,10 @@
   // Too many sends reached no server.
   kUndelivered,
   kOverBudget,
+  // A trial reaches one server.
+  kTrial,
+  // Prompt parts of the request are held.
+  kHeldParts,
   // No other server can be chosen.
   kNoServer,
 };
--- a/src/libzinniastep/gateway/gateway_action.h
+++ b/src/libzinniastep/gateway/gateway_action.h
@@ -8,6 +8,7 @@
 #include "libzinniastep/core/action.h"
 #include "libzinniastep/core/host_identity.h"
 #include "libzinniastep/gateway/backend_entry.h"
+#include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/gateway/record_watcher.h"
 #include "libzinniastep/gateway/rollout_guard.h"
 
@@ -23,12 +24,19 @@
   std::shared_ptr<const TrafficView> view;
 };
 
+// Passes what a peer knows of prompt parts that crash servers to the traffic
+// thread.
+struct DeliverCrashReport {
+  CrashReport report;
+};
+
 using GatewayAction = std::variant<ListRecords,
                                    WatchRecords,
                                    RolloutStatusWrite,
                                    RegisterHost,
                                    ReadHostList,
                                    PublishView,
+                                   DeliverCrashReport,
                                    SendToPeer,
                                    LogEvent>;
 
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -59,6 +59,12 @@
   // Adds the evidence from this host's own answers.
   auto OnEvidence(Instant now, const std::vector<VersionRow>& rows)
       -> std::vector<GatewayAction>;
+  // Sends a report about prompt parts that crash servers to peers.
+  auto SpreadCrashReport(const CrashReport& report, CrashReportKind kind)
+      -> std::vector<GatewayAction> {
+    outbox_.SpreadCrashReport(report, kind);
+    return outbox_.Take();
+  }
   // Announces to the peers that this host leaves.
   auto BeginShutdown(Instant now) -> std::vector<GatewayAction>;
 
@@ -98,6 +104,11 @@
       -> void;
   auto Handle(Instant now, const PeerRef& from, const VersionFault& fault)
       -> void;
+  auto Handle(Instant /*now*/,
+              const PeerRef& /*from*/,
+              const CrashReport& report) -> void {
+    outbox_.Add(DeliverCrashReport{report});
+  }
 
   [[nodiscard]] auto Digest(Instant now) const -> HostDigest;
   [[nodiscard]] auto IsInOwnRegion(const PeerRef& peer) const -> bool;
--- a/src/libzinniastep/gateway/gateway_outbox.cc
+++ b/src/libzinniastep/gateway/gateway_outbox.cc
@@ -6,6 +6,16 @@
 
 namespace zinniastep {
 
+namespace {
+
+// In a fleet with at most this many hosts, news are sent to all at once.
+constexpr std::size_t kSmallFleet = 16;
+// In a larger fleet each peer sends news on to as many.
+constexpr std::size_t kNewsFanOut = 6;
+constexpr std::size_t kSummaryFanOut = 3;
+
+}  // namespace
+
 GatewayOutbox::GatewayOutbox(const Membership& membership, std::uint64_t seed)
     : membership_(membership), random_(seed) {}
 
@@ -57,6 +67,15 @@
   }
 }
 
+auto GatewayOutbox::SpreadCrashReport(const CrashReport& report,
+                                      CrashReportKind kind) -> void {
+  const std::size_t news_fan_out =
+      membership_.live_hosts().size() <= kSmallFleet ? kSmallFleet
+                                                     : kNewsFanOut;
+  SendToRandomPeers(
+      kind == CrashReportKind::kNews ? news_fan_out : kSummaryFanOut, report);
+}
+
 auto GatewayOutbox::Take() -> std::vector<GatewayAction> {
   return std::exchange(actions_, {});
 }
--- a/src/libzinniastep/gateway/gateway_outbox.h
+++ b/src/libzinniastep/gateway/gateway_outbox.h
@@ -16,6 +16,14 @@
 
 namespace zinniastep {
 
+// What a report about prompt parts that crash servers contains.
+enum class CrashReportKind : std::uint8_t {
+  // What a host learned, which its peers send on.
+  kNews,
+  // All that matters, for peers that lost news.
+  kSummary,
+};
+
 // Collects the actions of the gateway's control state in order, and selects the
 // peers that receive a message.
 class GatewayOutbox {
@@ -42,6 +50,11 @@
   auto SendToRandomPeers(std::size_t most, const GatewayMessage& message)
       -> void;
 
+  // Sends a crash report to peers, chosen at random in a large fleet. News go
+  // to more of them than a summary.
+  auto SpreadCrashReport(const CrashReport& report, CrashReportKind kind)
+      -> void;
+
   // Returns the collected actions and removes them from the outbox.
   [[nodiscard]] auto Take() -> std::vector<GatewayAction>;
 
--- a/src/libzinniastep/gateway/messages.h
+++ b/src/libzinniastep/gateway/messages.h
@@ -129,7 +129,8 @@
                                     RecordSnapshot,
                                     OwnEvidence,
                                     VersionFault,
-                                    RecordDelta>;
+                                    RecordDelta,
+                                    CrashReport>;
 
 }  // namespace zinniastep
 
--- a/src/libzinniastep/gateway/part_quarantine.cc
+++ b/src/libzinniastep/gateway/part_quarantine.cc
@@ -11,6 +11,9 @@
 
 constexpr std::size_t kMaxWitnesses = 512;
 constexpr std::size_t kMaxTrialEntries = 128;
+constexpr std::size_t kMaxLeftSends = 64;
+// A server that began an answer that nobody waits for ends within this time.
+constexpr Duration kLeftSendTime = std::chrono::seconds(1);
 // A witness is forgotten after this time.
 constexpr Duration kWitnessLifetime = std::chrono::minutes(10);
 // While requests with the held parts still come, it is kept for longer.
@@ -78,29 +81,58 @@
 auto PartQuarantine::OnEnding(Instant now,
                               const BackendServerId& server,
                               std::span<const UnansweredSend> sends) -> void {
+  const std::uint64_t key = StableHash(server.text());
   for (const UnansweredSend& send : sends) {
-    if (send.parts.empty()) {
-      continue;
-    }
-    CrashWitness witness;
-    witness.request = send.request;
-    witness.server = StableHash(server.text());
-    witness.id = random_.Next();
-    witness.ended_at = send.broken_at;
-    witness.took = send.broken_at - send.sent_at;
-    witness.parts = WitnessParts(send.parts, answered_);
-    for (std::size_t part = 0; part < witness.parts.size(); ++part) {
-      const auto answered_at = answered_.Find(witness.parts[part]);
-      if (answered_at.has_value()) {
-        witness.known |= 1U << part;
-      }
-    }
-    unsent_witnesses_.insert(witness.id);
-    Insert(std::move(witness));
+    AddWitness(key, send, send.broken_at);
   }
+  AddLeft(key, now);
   Update(now);
 }
 
+auto PartQuarantine::AddWitness(std::uint64_t server,
+                                const UnansweredSend& send,
+                                Instant ended_at) -> void {
+  if (send.parts.empty()) {
+    return;
+  }
+  CrashWitness witness;
+  witness.request = send.request;
+  witness.server = server;
+  witness.id = random_.Next();
+  witness.ended_at = ended_at;
+  witness.took = ended_at - send.sent_at;
+  witness.parts = WitnessParts(send.parts, answered_);
+  for (std::size_t part = 0; part < witness.parts.size(); ++part) {
+    if (answered_.Find(witness.parts[part]).has_value()) {
+      witness.known |= 1U << part;
+    }
+  }
+  unsent_witnesses_.insert(witness.id);
+  Insert(std::move(witness));
+}
+
+auto PartQuarantine::OnLeft(const BackendServerId& server,
+                            const UnansweredSend& send) -> void {
+  if (send.parts.empty()) {
+    return;
+  }
+  left_.push_back({StableHash(server.text()), send});
+  if (left_.size() > kMaxLeftSends) {
+    left_.pop_front();
+  }
+}
+
+auto PartQuarantine::AddLeft(std::uint64_t server, Instant ended_at) -> void {
+  std::erase_if(left_, [&](const LeftSend& left) {
+    const Duration since = ended_at - left.send.broken_at;
+    if (left.server != server || since < Duration(0) || since > kLeftSendTime) {
+      return since > kLeftSendTime;
+    }
+    AddWitness(server, left.send, ended_at);
+    return true;
+  });
+}
+
 auto PartQuarantine::OnAnswered(Instant now,
                                 std::span<const PromptPartId> parts) -> void {
   answered_.Record(now, parts);
@@ -174,6 +206,7 @@
     const auto found = witnesses_.find(row.id);
     if (found == witnesses_.end()) {
       unsent_witnesses_.insert(witness.id);
+      AddLeft(witness.server, witness.ended_at);
       Insert(std::move(witness));
       continue;
     }
--- a/src/libzinniastep/gateway/part_quarantine.h
+++ b/src/libzinniastep/gateway/part_quarantine.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -70,6 +71,12 @@
                 const BackendServerId& server,
                 std::span<const UnansweredSend> sends) -> void;
 
+  // Notes a send that this host ended itself before any part of its answer, at
+  // `broken_at`. If the server ends within a second, it counts as one that was
+  // unanswered then.
+  auto OnLeft(const BackendServerId& server, const UnansweredSend& send)
+      -> void;
+
   // Notes that a server answered a request with the parts.
   auto OnAnswered(Instant now, std::span<const PromptPartId> parts) -> void;
 
@@ -112,6 +119,17 @@
     Instant last_at;
   };
 
+  // A send that this host ended itself, and the hash of its server's id.
+  struct LeftSend {
+    std::uint64_t server = 0;
+    UnansweredSend send;
+  };
+
+  auto AddWitness(std::uint64_t server,
+                  const UnansweredSend& send,
+                  Instant ended_at) -> void;
+  // Adds the sends that were left shortly before the server ended.
+  auto AddLeft(std::uint64_t server, Instant ended_at) -> void;
   [[nodiscard]] auto Find(std::span<const PromptPartId> parts) -> HeldParts*;
   // Marks the parts that were answered after the witness's end.
   auto ClearAnswered(CrashWitness& witness) const -> void;
@@ -127,6 +145,7 @@
   Random random_;
   AnsweredParts answered_;
   std::map<std::uint64_t, CrashWitness> witnesses_;
+  std::deque<LeftSend> left_;
   std::map<PromptPartId, Trials> trials_;
   std::vector<HeldParts> held_;
   // Ids and parts that changed since they were reported.
--- a/src/libzinniastep/runtime/exposition_text.cc
+++ b/src/libzinniastep/runtime/exposition_text.cc
@@ -31,6 +31,12 @@
   return absl::StrCat("# TYPE ", name, " ", type, "\n");
 }
 
+auto SampleText(const std::string& name, const char* type, std::uint64_t value)
+    -> std::string {
+  const std::string series = absl::StrCat(kPrefix, name);
+  return absl::StrCat(TypeLine(series, type), series, " ", value, "\n");
+}
+
 auto HistogramText(const std::string& name, const TimeHistogram& histogram)
     -> std::string {
   const std::string series = absl::StrCat(kPrefix, name, "_seconds");
@@ -64,9 +70,10 @@
 auto ExpositionText(const MetricsSnapshot& metrics) -> std::string {
   std::string text;
   for (const auto& [name, value] : metrics.counters) {
-    const std::string series = absl::StrCat(kPrefix, name);
-    absl::StrAppend(&text, TypeLine(series, "counter"), series, " ", value,
-                    "\n");
+    text += SampleText(name, "counter", value);
+  }
+  for (const auto& [name, value] : metrics.gauges) {
+    text += SampleText(name, "gauge", value);
   }
   for (const auto& [name, histogram] : metrics.histograms) {
     text += HistogramText(name, histogram);
--- a/src/libzinniastep/runtime/exposition_text.h
+++ b/src/libzinniastep/runtime/exposition_text.h
@@ -14,6 +14,7 @@
 // The values of a process's metrics at one moment, by name.
 struct MetricsSnapshot {
   std::map<std::string, std::uint64_t, std::less<>> counters;
+  std::map<std::string, std::uint64_t, std::less<>> gauges;
   std::map<std::string, TimeHistogram, std::less<>> histograms;
 };
 
--- a/src/libzinniastep/runtime/metrics.cc
+++ b/src/libzinniastep/runtime/metrics.cc
@@ -11,6 +11,11 @@
   found->second += amount;
 }
 
+auto Metrics::Set(std::string_view name, std::uint64_t value) -> void {
+  const std::lock_guard lock(mutex_);
+  values_.gauges[ExpositionName(name)] = value;
+}
+
 auto Metrics::Observe(std::string_view name, Duration time) -> void {
   const std::lock_guard lock(mutex_);
   auto found = values_.histograms.find(name);
--- a/src/libzinniastep/runtime/metrics.h
+++ b/src/libzinniastep/runtime/metrics.h
@@ -11,7 +11,8 @@
 
 namespace zinniastep {
 
-// Counters and latency histograms of one process; any thread may add to them.
+// Counters, gauges and latency histograms of one process; any thread may add to
+// them.
 class Metrics {
  public:
   Metrics() = default;
@@ -21,6 +22,9 @@
   // Adds to a counter. Names come from a fixed set in the code.
   auto Count(std::string_view name, std::uint64_t amount = 1) -> void;
 
+  // Sets a gauge.
+  auto Set(std::string_view name, std::uint64_t value) -> void;
+
   // Adds one time to a histogram.
   auto Observe(std::string_view name, Duration time) -> void;
 
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -237,6 +237,9 @@
 }
 
 auto Forwarder::Dispatch() -> void {
+  if (EndIfHeld()) {
+    return;
+  }
   const Instant now = engine_.Now();
   if (const UsableBackend* backend = ChooseServer(now); backend != nullptr) {
     waiting_for_server_ = false;
@@ -250,6 +253,72 @@
   WaitForServer();
 }
 
+auto Forwarder::EndIfHeld() -> bool {
+  if (progress_.is_trial) {
+    return false;
+  }
+  return std::visit(
+      Overloaded{[](const PartsAdmitted&) { return false; },
+                 [this](const PartsOnTrial&) {
+                   progress_.is_trial = true;
+                   engine_.metrics().Count("part_trials");
+                   engine_.Log({"part_trial",
+                                {{"request", request_id_},
+                                 {"parts", ToText(prompt_.shared_parts)}}});
+                   return false;
+                 },
+                 [this](const PartsHeld& held) {
+                   EndHeld(held);
+                   return true;
+                 }},
+      engine_.quarantine().Admit(engine_.Now(), prompt_.shared_parts));
+}
+
+auto Forwarder::EndHeld(const PartsHeld& held) -> void {
+  engine_.Log(
+      {"request_held",
+       {{"request", request_id_},
+        {"parts", ToText(held.parts)},
+        {"endings", std::to_string(held.endings)},
+        {"last_ended_ms", std::to_string(Milliseconds(held.last_ended_ago))},
+        {"retry_ms", std::to_string(Milliseconds(held.retry_after))},
+        {"may_have_run", progress_.may_have_run ? "yes" : "no"}}});
+  waiting_for_server_ = false;
+  if (answer_begun_) {
+    TakeStep(AbortAnswer{});
+  } else if (progress_.may_have_run) {
+    Fail(502, "held_parts");
+  } else {
+    RefuseFor("held_parts", held.retry_after);
+  }
+}
+
+auto Forwarder::OnHeldPartsChanged() -> void {
+  // A part of the answer shows that the request ended no server.
+  if (over_ || !server_.has_value() || answer_begun_ || !body_.empty() ||
+      progress_.is_trial ||
+      !engine_.quarantine().IsHeld(prompt_.shared_parts)) {
+    return;
+  }
+  const bool may_run_again =
+      progress_.resumable || progress_.repeat_rule == RepeatRule::kIdempotent;
+  if (!may_run_again) {
+    return;
+  }
+  progress_.may_have_run = progress_.may_have_run || connection_->is_sent();
+  DropAttempt(true);
+  EndIfHeld();
+}
+
+auto Forwarder::DropAttempt(bool was_given_up) -> void {
+  OnSendLeft(engine_.Now());
+  EndClocks(engine_.Now(), was_given_up);
+  engine_.chooser().OnEnd(engine_.Now(), server_->id);
+  connection_->Cancel();
+  connection_ = nullptr;
+  server_.reset();
+}
+
 auto Forwarder::WaitForServer() -> void {
   const Instant now = engine_.Now();
   // A late answer that has begun is worth more to its caller than a broken one,
@@ -403,6 +472,7 @@
       std::min(progress_.deadline, began_ + route_->target_latency);
   if (!confidence.has_value() ||
       progress_.servers_used + 1 >= progress_.most_servers ||
+      progress_.is_trial || engine_.quarantine().IsHeld(prompt_.shared_parts) ||
       !LeavesTimeForAnother(now - sent_at_, in_time - now)) {
     return false;
   }
@@ -436,6 +506,7 @@
                 {"next", route_->models[model_]}}});
   left_.push_back(server_->id);
   progress_.may_return = true;
+  OnSendLeft(now);
   FinishAttempt(SendOutcome::kAnswered);
   progress_.servers_used += 1;
   tried_.clear();
@@ -524,6 +595,9 @@
     caller_->Write(event->text);
     ++events_passed_;
     clocks_.OnEvent(last_bytes_);
+    if (clocks_.events() == 1) {
+      engine_.OnPartsAnswered(prompt_.shared_parts);
+    }
     if (event->id.has_value()) {
       last_event_ = event->id;
     }
@@ -582,6 +656,7 @@
 
 auto Forwarder::AnswerWhole() -> void {
   CountEvidence(false);
+  engine_.OnPartsAnswered(prompt_.shared_parts);
   FinishAttempt(SendOutcome::kAnswered);
   if (answer_begun_) {
     caller_->Finish();
@@ -611,6 +686,7 @@
   if (outcome == SendOutcome::kServerFailure) {
     server_failed_before_ = true;
     CountEvidence(true);
+    engine_.OnPartsAnswered(prompt_.shared_parts);
   }
   const bool reached =
       outcome != SendOutcome::kNotSent && outcome != SendOutcome::kMisdirected;
@@ -647,23 +723,27 @@
         {"reason", std::string(obstacle.has_value() ? ToString(*obstacle)
                                                     : std::string_view())}}});
   if (outcome == SendOutcome::kBroken) {
-    ReportBroken(now);
+    engine_.OnSendBroken(*server_, Unanswered(now));
   }
   FinishAttempt(outcome);
   TakeStep(step);
 }
 
-auto Forwarder::ReportBroken(Instant now) -> void {
-  const bool was_answered = clocks_.events() > 0 || !body_.empty();
-  std::optional<UnansweredSend> unanswered;
-  if (!was_answered) {
-    // Callers may use an id again.
-    const auto began =
-        static_cast<std::uint64_t>(began_.time_since_epoch().count());
-    unanswered = {StableHash(request_id_, began), prompt_.shared_parts,
-                  sent_at_, now};
+auto Forwarder::Unanswered(Instant now) const -> std::optional<UnansweredSend> {
+  if (clocks_.events() > 0 || !body_.empty()) {
+    return std::nullopt;
+  }
+  // Callers may use an id again.
+  const auto began =
+      static_cast<std::uint64_t>(began_.time_since_epoch().count());
+  return UnansweredSend{StableHash(request_id_, began), prompt_.shared_parts,
+                        sent_at_, now};
+}
+
+auto Forwarder::OnSendLeft(Instant now) -> void {
+  if (const auto unanswered = Unanswered(now)) {
+    engine_.quarantine().OnLeft(server_->id, *unanswered);
   }
-  engine_.OnSendBroken(*server_, std::move(unanswered));
 }
 
 auto Forwarder::TakeStep(const NextStep& step) -> void {
@@ -708,16 +788,19 @@
 }
 
 auto Forwarder::Refuse(std::string_view reason, ReturnTime time) -> void {
-  WholeAnswer answer(http::status::service_unavailable, 11);
-  Identify(answer.base());
   const Duration longest =
       route_ == nullptr ? time.least + time.spread : TimeLeft() / 3;
-  const Duration back =
-      std::min(longest, time.least + std::chrono::duration_cast<Duration>(
-                                         time.spread * engine_.Draw()));
+  RefuseFor(reason,
+            std::min(longest, time.least + std::chrono::duration_cast<Duration>(
+                                               time.spread * engine_.Draw())));
+}
+
+auto Forwarder::RefuseFor(std::string_view reason, Duration wait) -> void {
+  WholeAnswer answer(http::status::service_unavailable, 11);
+  Identify(answer.base());
   char text[32];
   std::snprintf(text, sizeof text, "%.3f",
-                std::chrono::duration<double>(back).count());
+                std::chrono::duration<double>(wait).count());
   answer.set(http::field::retry_after, text);
   caller_->Answer(std::move(answer));
   Over(reason, 503);
@@ -742,11 +825,7 @@
                 {"events", std::to_string(events_passed_)},
                 {"left_ms", std::to_string(Milliseconds(TimeLeft()))}}});
   if (server_.has_value()) {
-    EndClocks(engine_.Now(), false);
-    engine_.chooser().OnEnd(engine_.Now(), server_->id);
-    connection_->Cancel();
-    connection_ = nullptr;
-    server_.reset();
+    DropAttempt(false);
   }
   std::visit(Overloaded{[this](const RefuseNotRun&) {
                           Refuse("shutting_down", kReturnElsewhere);
@@ -779,11 +858,7 @@
     return;
   }
   if (server_.has_value()) {
-    EndClocks(engine_.Now(), true);
-    engine_.chooser().OnEnd(engine_.Now(), server_->id);
-    connection_->Cancel();
-    connection_ = nullptr;
-    server_.reset();
+    DropAttempt(true);
   }
   Over("caller_left", 0);
 }
@@ -876,6 +951,9 @@
 auto Forwarder::LeaveServer(Instant now, Overdue overdue) -> bool {
   const ForwardProgress after = AfterLeavingServer(progress_);
   auto obstacle = RetryObstacle(now, after, engine_.MayRepeat(service_));
+  if (engine_.quarantine().IsHeld(prompt_.shared_parts)) {
+    obstacle = GiveUpReason::kHeldParts;
+  }
   const UsableBackend* next =
       obstacle.has_value() ? nullptr : engine_.chooser().Choose(now, Need());
   if (next == nullptr) {
@@ -907,6 +985,7 @@
   arrived_ = true;
   engine_.BudgetFor(service_).OnRepeat(now);
   connection_->Cancel();
+  OnSendLeft(now);
   FinishAttempt(SendOutcome::kSilent);
   Send(*next);
   return true;
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -13,6 +13,7 @@
 
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/forward_decision.h"
+#include "libzinniastep/gateway/part_quarantine.h"
 #include "libzinniastep/gateway/prompt_shape.h"
 #include "libzinniastep/gateway/send_clocks.h"
 #include "libzinniastep/gateway/server_chooser.h"
@@ -48,6 +49,9 @@
   // Takes note that the servers which may be used have changed.
   auto OnServersChanged() -> void;
 
+  // Takes note that other prompt parts are held.
+  auto OnHeldPartsChanged() -> void;
+
   // Ends without a word to anybody, when the process ends.
   auto Abandon() -> void;
 
@@ -69,14 +73,22 @@
   // before it had answered; null without one.
   auto ChooseServer(Instant now) -> const UsableBackend*;
   auto Dispatch() -> void;
+  // Ends the request if its prompt parts are held. Returns whether they are.
+  auto EndIfHeld() -> bool;
+  auto EndHeld(const PartsHeld& held) -> void;
   auto WaitForServer() -> void;
   auto Send(const UsableBackend& backend) -> void;
   [[nodiscard]] auto RequestText(const UsableBackend& backend) const
       -> std::string;
   auto OnAttemptOver(SendOutcome outcome) -> void;
   auto FinishAttempt(SendOutcome outcome) -> void;
-  // Reports that the connection of the send under way broke.
-  auto ReportBroken(Instant now) -> void;
+  // Ends the send under way, of which the server is not to blame.
+  auto DropAttempt(bool was_given_up) -> void;
+  // The send under way if no part of its answer has come.
+  [[nodiscard]] auto Unanswered(Instant now) const
+      -> std::optional<UnansweredSend>;
+  // Takes note that this host ends the send under way.
+  auto OnSendLeft(Instant now) -> void;
   auto TakeStep(const NextStep& step) -> void;
   auto Escalate() -> bool;
   auto TakeEvents(std::string_view bytes) -> void;
@@ -86,8 +98,11 @@
   auto EndUnnumberedStream() -> void;
   auto OnStreamEnd() -> void;
   auto AnswerWhole() -> void;
-  // Refuses the request as not run.
+  // Refuses the request as not run. Callers wait for a part of the time that
+  // they have left at most.
   auto Refuse(std::string_view reason, ReturnTime time = {}) -> void;
+  // Refuses the request as not run, and asks the caller to wait that long.
+  auto RefuseFor(std::string_view reason, Duration wait) -> void;
   auto Fail(unsigned status, std::string_view reason) -> void;
   // The server's head as the caller gets it.
   [[nodiscard]] auto CallerHead() const -> AnswerHead;
--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -1,6 +1,7 @@
 #include "libzinniastep/traffic/gateway_daemon.h"
 
 #include <chrono>
+#include <ctime>
 #include <future>
 #include <utility>
 
@@ -15,7 +16,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 // The control core's clock. Its periods are several times as long.
 constexpr Duration kControlTick = std::chrono::milliseconds(100);
@@ -24,6 +24,8 @@
 // for a second without being read give the host up.
 constexpr Duration kLongestUnready = std::chrono::milliseconds(800);
 constexpr Duration kTrafficTick = std::chrono::milliseconds(250);
+constexpr Duration kReportTick = std::chrono::milliseconds(100);
+constexpr Duration kCrashSummaryPeriod = std::chrono::seconds(1);
 // After the signal callers learn from the directory that this host leaves;
 // until then it takes new connections.
 constexpr Duration kAcceptAfterSignal = std::chrono::milliseconds(2500);
@@ -74,6 +76,7 @@
       traffic_work_(traffic_io_.get_executor()),
       control_timer_(control_io_),
       traffic_timer_(traffic_io_),
+      report_timer_(traffic_io_),
       core_(self_, settings, binding_.decoders, incarnation),
       engine_(
           traffic_io_,
@@ -81,7 +84,8 @@
           binding_.headers,
           metrics_,
           [this](const LogEvent& event) { Write(event); },
-          StableHash(settings.host.text(), incarnation)) {}
+          StableHash(settings.host.text(), incarnation)),
+      operator_page_(engine_, metrics_, settings.signing_keys) {}
 
 GatewayDaemon::~GatewayDaemon() {
   // What brings events in ends first, then the threads, then the rest.
@@ -134,12 +138,9 @@
   if (!settings_.metrics_address.empty()) {
     status.Update(listen(metrics_listener_, settings_.metrics_address,
                          [this](const std::shared_ptr<CallerConnection>& caller,
-                                const CallerRequest&) {
-                           WholeAnswer answer(http::status::ok, 11);
-                           answer.set(http::field::content_type,
-                                      kExpositionContentType);
-                           answer.body() = ExpositionText(metrics_.Snapshot());
-                           caller->Answer(std::move(answer));
+                                const CallerRequest& request) {
+                           caller->Answer(operator_page_.Answer(
+                               request, std::time(nullptr)));
                          }));
   }
   if (!status.ok()) {
@@ -165,6 +166,7 @@
   store_ = binding_.make_store(settings_, *store_loop_);
   asio::post(control_io_, [this] { TickControl(); });
   asio::post(traffic_io_, [this] { TickTraffic(); });
+  asio::post(traffic_io_, [this] { TickReports(); });
   control_thread_ = std::thread([this] { control_io_.run(); });
   traffic_thread_ = std::thread([this] { traffic_io_.run(); });
 }
@@ -199,6 +201,29 @@
   }
 }
 
+auto GatewayDaemon::TickReports() -> void {
+  report_timer_.expires_after(kReportTick);
+  report_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      TickReports();
+    }
+  });
+  const auto spread = [this](std::optional<CrashReport> report,
+                             CrashReportKind kind) {
+    if (report.has_value()) {
+      asio::post(control_io_, [this, kind, report = *std::move(report)] {
+        Do(core_.SpreadCrashReport(report, kind));
+      });
+    }
+  };
+  spread(engine_.TakeCrashNews(), CrashReportKind::kNews);
+  const auto now = std::chrono::steady_clock::now();
+  if (now >= next_crash_summary_) {
+    next_crash_summary_ = now + kCrashSummaryPeriod;
+    spread(engine_.CrashSummary(), CrashReportKind::kSummary);
+  }
+}
+
 auto GatewayDaemon::OnPeerBytes(std::string_view bytes) -> void {
   auto envelope = codec_.Decode(bytes);
   if (!envelope.ok()) {
@@ -277,6 +302,11 @@
   });
 }
 
+auto GatewayDaemon::Execute(const DeliverCrashReport& action) -> void {
+  asio::post(traffic_io_,
+             [this, report = action.report] { engine_.OnCrashReport(report); });
+}
+
 auto GatewayDaemon::Execute(const SendToPeer& action) -> void {
   metrics_.Count("peer_messages_sent");
   peers_->Send(action.address,
--- a/src/libzinniastep/traffic/gateway_daemon.h
+++ b/src/libzinniastep/traffic/gateway_daemon.h
@@ -21,6 +21,7 @@
 #include "libzinniastep/runtime/metrics.h"
 #include "libzinniastep/runtime/peer_transport.h"
 #include "libzinniastep/traffic/http_listener.h"
+#include "libzinniastep/traffic/operator_page.h"
 #include "libzinniastep/traffic/record_store.h"
 #include "libzinniastep/traffic/traffic_engine.h"
 #include "libzinniastep/wire/codec.h"
@@ -79,6 +80,7 @@
   auto Run() -> void;
   auto TickControl() -> void;
   auto TickTraffic() -> void;
+  auto TickReports() -> void;
   auto Do(const std::vector<GatewayAction>& actions) -> void;
   auto OnPeerBytes(std::string_view bytes) -> void;
   auto Write(const LogEvent& event) -> void;
@@ -93,6 +95,7 @@
   auto Execute(const RegisterHost& action) -> void;
   auto Execute(const ReadHostList& action) -> void;
   auto Execute(const PublishView& action) -> void;
+  auto Execute(const DeliverCrashReport& action) -> void;
   auto Execute(const SendToPeer& action) -> void;
   auto Execute(const LogEvent& action) -> void;
 
@@ -108,8 +111,11 @@
   WorkGuard traffic_work_;
   boost::asio::steady_timer control_timer_;
   boost::asio::steady_timer traffic_timer_;
+  boost::asio::steady_timer report_timer_;
+  std::chrono::steady_clock::time_point next_crash_summary_;
   GatewayCore core_;
   TrafficEngine engine_;
+  OperatorPage operator_page_;
   std::unique_ptr<HttpLoop> store_loop_;
   std::unique_ptr<RecordStore> store_;
   std::unique_ptr<PeerTransport> peers_;
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -22,6 +22,11 @@
 // round trip.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(350);
 
+auto Milliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 }  // namespace
 
 TrafficEngine::TrafficEngine(boost::asio::io_context& io,
@@ -38,7 +43,8 @@
       random_(seed),
       view_(std::make_shared<TrafficView>()),
       chooser_(settings.host, settings.domain, settings.region),
-      pool_(io, headers_.attempt_id, UndeliveredLimit(settings.leaving_time)) {}
+      pool_(io, headers_.attempt_id, UndeliveredLimit(settings.leaving_time)),
+      quarantine_(random_.Next()) {}
 
 TrafficEngine::~TrafficEngine() {
   // A forwarder and its connection keep each other until one of them ends.
@@ -56,6 +62,7 @@
   const bool has_new_routes = view->policy != view_->policy;
   view_ = std::move(view);
   chooser_.SetView(Now(), view_);
+  quarantine_.SetHosts(view_->sharing_hosts);
   for (const auto& forwarder : active_) {
     forwarder->OnServersChanged();
   }
@@ -153,6 +160,76 @@
         {"service", server.service.text()},
         {"answered", std::to_string(broken.answered)},
         {"unanswered", std::to_string(broken.unanswered.size())}}});
+  quarantine_.OnEnding(Now(), server.id, broken.unanswered);
+  OnHeldParts();
+}
+
+auto TrafficEngine::OnPartsAnswered(std::span<const PromptPartId> parts)
+    -> void {
+  quarantine_.OnAnswered(Now(), parts);
+}
+
+auto TrafficEngine::TakeCrashNews() -> std::optional<CrashReport> {
+  quarantine_.Update(Now());
+  OnHeldParts();
+  return quarantine_.TakeNews(Now());
+}
+
+auto TrafficEngine::CrashSummary() const -> std::optional<CrashReport> {
+  return quarantine_.Summary(Now());
+}
+
+auto TrafficEngine::OnCrashReport(const CrashReport& report) -> void {
+  quarantine_.Merge(Now(), report);
+  OnHeldParts();
+}
+
+auto TrafficEngine::ReleasePart(PromptPartId part) -> bool {
+  const bool was_held = quarantine_.Release(Now(), part);
+  Log({"parts_released_by_operator",
+       {{"part", ToText(part)}, {"held", was_held ? "yes" : "no"}}});
+  OnHeldParts();
+  return was_held;
+}
+
+auto TrafficEngine::OnHeldParts() -> void {
+  if (quarantine_.revision() == held_revision_) {
+    return;
+  }
+  held_revision_ = quarantine_.revision();
+  const Instant now = Now();
+  const std::vector<HeldParts> before = std::exchange(
+      held_, {quarantine_.held().begin(), quarantine_.held().end()});
+  const auto is_in = [](const std::vector<HeldParts>& list,
+                        const HeldParts& held) {
+    return std::ranges::find(list, held.parts, &HeldParts::parts) != list.end();
+  };
+  for (const HeldParts& held : held_) {
+    if (!is_in(before, held)) {
+      metrics_.Count("parts_held");
+      Log({"parts_held",
+           {{"parts", ToText(held.parts)},
+            {"endings", std::to_string(held.endings)},
+            {"requests", std::to_string(held.requests)},
+            {"last_ended_ms",
+             std::to_string(Milliseconds(now - held.last_ended_at))}}});
+    }
+  }
+  for (const HeldParts& held : before) {
+    if (!is_in(held_, held)) {
+      metrics_.Count("parts_released");
+      Log({"parts_released",
+           {{"parts", ToText(held.parts)},
+            {"held_ms", std::to_string(Milliseconds(now - held.held_since))},
+            {"trials", std::to_string(held.trials)}}});
+    }
+  }
+  metrics_.Set("held_parts", held_.size());
+  const std::vector<std::shared_ptr<Forwarder>> active(active_.begin(),
+                                                       active_.end());
+  for (const auto& forwarder : active) {
+    forwarder->OnHeldPartsChanged();
+  }
 }
 
 auto TrafficEngine::OnRequestBegun(std::shared_ptr<Forwarder> forwarder)
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 #include "libzinniastep/gateway/gateway_settings.h"
 #include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/gateway/model_choice.h"
+#include "libzinniastep/gateway/part_quarantine.h"
 #include "libzinniastep/gateway/repeat_budget.h"
 #include "libzinniastep/gateway/request_durations.h"
 #include "libzinniastep/gateway/server_chooser.h"
@@ -73,6 +75,16 @@
   // Returns and forgets what answers have shown since the last call.
   [[nodiscard]] auto TakeEvidence() -> std::vector<VersionRow>;
 
+  // Updates which prompt parts are held, and returns what peers should know.
+  [[nodiscard]] auto TakeCrashNews() -> std::optional<CrashReport>;
+  // Returns a summary for peers that lost news.
+  [[nodiscard]] auto CrashSummary() const -> std::optional<CrashReport>;
+  // Takes what a peer knows of prompt parts that crash servers.
+  auto OnCrashReport(const CrashReport& report) -> void;
+  // Releases the prompt parts that are held with this one, on behalf of an
+  // operator. Returns whether any were.
+  auto ReleasePart(PromptPartId part) -> bool;
+
   // Returns the limits of callers in force.
   [[nodiscard]] auto Limits() const -> CallerLimits;
 
@@ -107,6 +119,9 @@
   // ended. `unanswered` is empty if a part of the answer had come.
   auto OnSendBroken(const BackendEntry& server,
                     std::optional<UnansweredSend> unanswered) -> void;
+  // Notes that a server answered a request with the prompt parts.
+  auto OnPartsAnswered(std::span<const PromptPartId> parts) -> void;
+  [[nodiscard]] auto quarantine() -> PartQuarantine& { return quarantine_; }
   // Returns an id for a request whose caller sent none: 16 hexadecimal digits.
   [[nodiscard]] auto DrawRequestId() -> std::string;
   auto Log(const LogEvent& event) -> void { log_(event); }
@@ -123,6 +138,8 @@
  private:
   auto OnServerEnded(const BackendEntry& server, const BrokenSends& broken)
       -> void;
+  // Acts on a change of which prompt parts are held.
+  auto OnHeldParts() -> void;
 
   boost::asio::io_context& io_;
   GatewaySettings settings_;
@@ -140,6 +157,10 @@
   std::set<std::shared_ptr<Forwarder>> active_;
   RequestDurations durations_;
   EndingWatch endings_;
+  PartQuarantine quarantine_;
+  // As of the last call of OnHeldParts().
+  std::uint64_t held_revision_ = 0;
+  std::vector<HeldParts> held_;
   std::optional<Instant> shutdown_end_;
   bool refusing_ = false;
 };
--- a/src/zinniastepctl/main.cc
+++ b/src/zinniastepctl/main.cc
@@ -11,6 +11,7 @@
 #include "zinniastepctl/change_commands.h"
 #include "zinniastepctl/exit_code.h"
 #include "zinniastepctl/http_object_client.h"
+#include "zinniastepctl/part_commands.h"
 #include "zinniastepctl/report_command.h"
 #include "zinniastepctl/session.h"
 #include "zinniastepctl/view_commands.h"
@@ -34,12 +35,15 @@
   zinniastepctl drain [options]
   zinniastepctl report [options]
   zinniastepctl explain REQUEST [options]
+  zinniastepctl parts held --gateway=FILE [options]
+  zinniastepctl parts release PART --gateway=FILE [options]
   zinniastepctl --help
   zinniastepctl --version
 
 Options:
   --store=ADDRESS  The object API, "address:port" [default: 127.0.0.1:9001].
   --host=ADDRESS   An entry host's caller address, "address:port".
+  --gateway=FILE   A gateway host's settings file.
   --json           Print JSON, one object a line.
   --bad            Count the version as bad in the report.
   --reason=TEXT    Why; kept in the document.
@@ -120,6 +124,13 @@
   if (given("explain")) {
     return Explain(session, arguments["REQUEST"].asString());
   }
+  if (given("held")) {
+    return ListHeldParts(session, arguments["--gateway"].asString());
+  }
+  if (given("release")) {
+    return ReleasePart(session, arguments["--gateway"].asString(),
+                       arguments["PART"].asString());
+  }
   return RunChange(session, arguments);
 }
 
--- a/tests/gateway/gateway_core_test.cc
+++ b/tests/gateway/gateway_core_test.cc
@@ -277,6 +277,18 @@
   EXPECT_FALSE(fleet_.states("pool").empty());
 }
 
+TEST_F(GatewayCoreTest, NewsOfCrashesReachAllPeersOfASmallFleet) {
+  CrashReport report;
+  report.rows.push_back({1, 2, 3, 4000, 5000, {6, 7}, 0, 0});
+  fleet_.Feed(0,
+              fleet_.core(0).SpreadCrashReport(report, CrashReportKind::kNews));
+  fleet_.Run(milliseconds(200));
+  EXPECT_EQ(fleet_.crash_reports(0), 0U);
+  for (std::size_t host = 1; host < kHosts; ++host) {
+    EXPECT_EQ(fleet_.crash_reports(host), 1U);
+  }
+}
+
 TEST_F(GatewayCoreTest, AnEvacuatedDomainIsEvacuatedOnEveryHost) {
   fleet_.SetStoreFault(6, GatewayFleet::StoreFault::kSilent);
   fleet_.Put(RecordKind::kEvacuations, "north", "");
--- a/tests/gateway/part_quarantine_test.cc
+++ b/tests/gateway/part_quarantine_test.cc
@@ -110,6 +110,22 @@
   EXPECT_FALSE(IsRefused(first, At(4030)));
 }
 
+TEST(PartQuarantine, ASendThatWasLeftJustBeforeTheEndCounts) {
+  PartQuarantine quarantine(1);
+  for (std::uint64_t end = 1; end <= 3; ++end) {
+    const Instant now = At(static_cast<std::int64_t>(end) * 2000);
+    const BackendServerId server("s" + std::to_string(end));
+    quarantine.OnLeft(
+        server, {end, kParts, now - milliseconds(500), now - milliseconds(60)});
+    quarantine.OnLeft(
+        server,
+        {end + 10, {1, 5}, now - milliseconds(5000), now - milliseconds(1100)});
+    quarantine.OnEnding(now, server, {});
+  }
+  EXPECT_TRUE(quarantine.IsHeld(kParts));
+  EXPECT_EQ(quarantine.witness_count(), 3U);
+}
+
 TEST(PartQuarantine, AHostThatStartedMeanwhileLearnsFromASummary) {
   PartQuarantine first(1);
   HoldParts(first);
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -353,6 +353,11 @@
   hosts_[host].view = action.view;
 }
 
+auto GatewayFleet::Do(std::size_t host, const DeliverCrashReport& /*action*/)
+    -> void {
+  ++hosts_[host].crash_reports;
+}
+
 auto GatewayFleet::Do(std::size_t host, const SendToPeer& action) -> void {
   const auto found = by_address_.find(action.address);
   if (found == by_address_.end() || IsCut(host, found->second)) {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -78,6 +78,10 @@
   [[nodiscard]] auto DomainOf(std::size_t host) const -> std::size_t {
     return host % layout_.domains;
   }
+  // Reports about prompt parts that a host got from its peers.
+  [[nodiscard]] auto crash_reports(std::size_t host) const -> std::size_t {
+    return hosts_[host].crash_reports;
+  }
   // States written for a roll-out, in order.
   [[nodiscard]] auto states(const std::string& rollout) const
       -> std::vector<RolloutState>;
@@ -112,6 +116,7 @@
     bool frozen = false;
     std::uint64_t incarnation = 0;
     std::size_t calls = 0;
+    std::size_t crash_reports = 0;
     // When its link has sent what it was given.
     Instant link_free;
   };
@@ -130,6 +135,7 @@
   auto Do(std::size_t host, const RegisterHost& action) -> void;
   auto Do(std::size_t host, const ReadHostList& action) -> void;
   auto Do(std::size_t host, const PublishView& action) -> void;
+  auto Do(std::size_t host, const DeliverCrashReport& action) -> void;
   auto Do(std::size_t host, const SendToPeer& action) -> void;
   auto Do(std::size_t host, const LogEvent& action) -> void;
 
--- a/tests/traffic/scripted_server.cc
+++ b/tests/traffic/scripted_server.cc
@@ -132,7 +132,13 @@
           return;
         }
         if (answer.end_for.count() > 0) {
-          EndFor(answer.end_for);
+          session->timer.expires_after(answer.end_after);
+          session->timer.async_wait(
+              [this, session, answer](boost::system::error_code timer_error) {
+                if (!timer_error) {
+                  EndFor(answer.end_for);
+                }
+              });
           return;
         }
         if (answer.close) {
--- a/tests/traffic/scripted_server.h
+++ b/tests/traffic/scripted_server.h
@@ -33,8 +33,9 @@
   // nothing until then.
   std::string rest = {};
   std::chrono::milliseconds rest_after{0};
-  // Closes all connections and listens no more for this long; a server that
-  // ends with its requests.
+  // This long after the bytes, closes all connections and listens no more for
+  // the second time, unless that is zero: a server that ends with its requests.
+  std::chrono::milliseconds end_after{0};
   std::chrono::milliseconds end_for{0};
 };
 
