Bound the trials that a host knows of, and send on a withdrawn trial

A peer's report could fill the table for an hour, so that trials of other parts were not counted; the oldest entry leaves now. A withdrawn request whose parts were due for a trial neither was sent nor ended, until its deadline. Both were found by reading; the test plays requests that wait at a server when their parts are held.

--- a/src/libzinniastep/gateway/part_quarantine.cc
+++ b/src/libzinniastep/gateway/part_quarantine.cc
@@ -222,10 +222,10 @@
       changed_ = true;
     }
   }
-  for (const TrialRow& row : report.trials) {
-    const auto found = trials_.find(row.part);
-    if ((found == trials_.end() && trials_.size() >= kMaxTrialEntries) ||
-        row.age_us > kMaxWitnessAgeUs) {
+  for (const TrialRow& row :
+       std::span(report.trials)
+           .first(std::min(report.trials.size(), kMaxTrialEntries))) {
+    if (row.age_us > kMaxWitnessAgeUs) {
       continue;
     }
     Trials& trials = trials_[row.part];
@@ -392,6 +392,10 @@
   std::erase_if(trials_, [&](const auto& item) {
     return now - item.second.last_at > kMaxWitnessAge;
   });
+  while (trials_.size() > kMaxTrialEntries) {
+    trials_.erase(std::ranges::min_element(
+        trials_, {}, [](const auto& item) { return item.second.last_at; }));
+  }
   changed_ = changed_ || expired > 0;
 }
 
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -307,7 +307,7 @@
   }
   progress_.may_have_run = progress_.may_have_run || connection_->is_sent();
   DropAttempt(true);
-  EndIfHeld();
+  Dispatch();
 }
 
 auto Forwarder::DropAttempt(bool was_given_up) -> void {
--- a/tests/traffic/crashing_part_test.cc
+++ b/tests/traffic/crashing_part_test.cc
@@ -1,10 +1,12 @@
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "tests/process/child_process.h"
 #include "tests/traffic/answer_texts.h"
 #include "tests/traffic/engine_host.h"
 #include "tests/traffic/scripted_server.h"
@@ -24,6 +26,11 @@
       servers_.push_back(
           std::make_unique<ScriptedServer>([](const std::string& request) {
             ScriptedAnswer answer;
+            if (HeaderOf(request, "Zinniastep-Prompt-Prefix").find("slow:") !=
+                std::string::npos) {
+              answer.hang = true;
+              return answer;
+            }
             answer.bytes = StreamHead();
             if (HeaderOf(request, "Zinniastep-Prompt-Prefix").find("bad:") !=
                 std::string::npos) {
@@ -87,5 +94,22 @@
   EXPECT_EQ(Call("bad:5,bb:20,aa:50").status, 503);
 }
 
+TEST_F(CrashingPartTest, RequestsThatWaitAtAServerAreWithdrawn) {
+  auto waiting = std::async(std::launch::async, [this] {
+    return host_->Call(EngineHost::Request(
+        "/gen/", "Zinniastep-Prompt-Prefix: aa:50,bb:20,bad:5,slow:1,e:9\r\n"));
+  });
+  while (host_->Logged("request_sent", "request").empty()) {
+    PauseBetweenLooks();
+  }
+  for (int round = 0; round < 4; ++round) {
+    (void)Call("aa:50,bb:20,bad:5");
+  }
+  // Its own deadline is 15 s.
+  ASSERT_EQ(waiting.wait_for(std::chrono::seconds(8)),
+            std::future_status::ready);
+  EXPECT_EQ(waiting.get().status, 502);
+}
+
 }  // namespace
 }  // namespace zinniastep::testing
