Let the stand-in crash on a prompt, and the load send such prompts

An engine of the stand-in restarts when it begins to answer a prompt that contains the text of its fault crash_on; the load begins a share of its chats with a mark. A test, the demo's fault list and a soak can then play requests that end what serves them.

--- a/src/zinniastep-load/main.cc
+++ b/src/zinniastep-load/main.cc
@@ -26,7 +26,7 @@
   zinniastep-load run --entry ADDRESS... --profile NAME [--rate N]
                   [--seconds N] [--seed N] [--faults FILE] [--model NAME]
                   [--account NAME] [--direct VERSION] [--operator-key KEY]
-                  [--json FILE] [--plot PREFIX]
+                  [--mark TEXT] [--marked-share X] [--json FILE] [--plot PREFIX]
   zinniastep-load compare A B [--json FILE]
   zinniastep-load verdict --result FILE... --backend-account FILE --bills FILE
                   [--document FILE] [--withdrawn VERSION:UNIX_MS...]
@@ -45,6 +45,9 @@
   --account NAME           Account of the profile "stream" [default: perth-farms].
   --direct VERSION         The entries are model engines; ask for this version.
   --operator-key KEY       Poll GET /state of each host with this key.
+  --mark TEXT              Begins the prompts of some chats, for stand-ins that
+                           crash on it (fault "crash_on").
+  --marked-share X         Share of the chats with the mark [default: 0.05].
   --json FILE              Write the whole result.
   --plot PREFIX            Write PREFIX.gp for gnuplot, and its data.
   --result FILE            Result of a load.
@@ -107,6 +110,10 @@
     return Fail(profile.status());
   }
   options.profile = *std::move(profile);
+  if (const auto& mark = arguments.at("--mark")) {
+    options.profile.mark = mark.asString();
+    options.profile.marked_share = Number(arguments.at("--marked-share"));
+  }
   options.entries = arguments.at("--entry").asStringList();
   options.calls_per_second = Number(arguments.at("--rate"));
   options.seconds = Number(arguments.at("--seconds"));
--- a/src/zinniastep-load/profile.h
+++ b/src/zinniastep-load/profile.h
@@ -40,6 +40,10 @@
   std::string name;
   std::vector<CallKind> kinds;
   std::vector<CallingAccount> accounts;
+  // Share of the chats whose prompt begins with the mark, for stand-ins that
+  // crash on it.
+  double marked_share = 0.0;
+  std::string mark = {};
 };
 
 // Returns the profile "coopline", "panhandle", or "stream" (streamed chats of
--- a/src/zinniastep-load/workload.cc
+++ b/src/zinniastep-load/workload.cc
@@ -67,6 +67,9 @@
   call.prefixed_key = random_.Unit() < 0.5;
   call.prompt = DrawPrompt(*call.kind, call.number);
   if (call.kind->service.empty()) {
+    if (!profile_.mark.empty() && random_.Unit() < profile_.marked_share) {
+      call.prompt = absl::StrCat(profile_.mark, " ", call.prompt);
+    }
     call.body = ChatBody(call);
   } else {
     call.body = call.prompt;
--- a/src/zinniastep-standin/backend_server.cc
+++ b/src/zinniastep-standin/backend_server.cc
@@ -91,6 +91,7 @@
   error_share_ = fault.value("error_share", error_share_);
   cut_share_ = fault.value("cut_share", cut_share_);
   lose_share_ = fault.value("lose_share", lose_share_);
+  crash_on_ = fault.value("crash_on", crash_on_);
   if (!silent_) {
     for (const Request& request : std::exchange(unanswered_, {})) {
       request.writer->Abort();
@@ -139,6 +140,8 @@
   running.digest = ShortDigest(prompt);
   running.attempt_digest = ShortDigest(request.attempt);
   running.stream = chat && Member(body, "stream", false);
+  running.crashes =
+      !crash_on_.empty() && prompt.find(crash_on_) != std::string::npos;
   if (chat) {
     const auto& version = quality_.Find(request.version).settings;
     running.tokens = std::clamp(
@@ -203,6 +206,10 @@
     return;
   }
   Running& running = found->second;
+  if (running.crashes) {
+    Restart();
+    return;
+  }
   const auto& version = quality_.Find(running.version);
   if (running.next == 0 &&
       random_.Unit() < std::max(error_share_, version.error_share)) {
--- a/src/zinniastep-standin/backend_server.h
+++ b/src/zinniastep-standin/backend_server.h
@@ -36,7 +36,8 @@
   // Changes what goes wrong: "cold" and "restart" at once, "down", "silent"
   // (takes requests and answers nothing), "slow_factor", "error_share",
   // "cut_share" (streams that break off in the middle), "lose_share" (answers
-  // lost after the effect) and "load_silent".
+  // lost after the effect), "load_silent", and "crash_on" (the server restarts
+  // when it begins to answer a prompt that contains this text; empty for none).
   auto SetFault(const nlohmann::json& fault) -> void;
 
  private:
@@ -51,6 +52,7 @@
     // Token before which the answer breaks off.
     std::uint32_t cut_before = 0;
     bool stream = false;
+    bool crashes = false;
     std::string text;
   };
 
@@ -102,6 +104,7 @@
   double error_share_ = 0.0;
   double cut_share_ = 0.0;
   double lose_share_ = 0.0;
+  std::string crash_on_;
   std::vector<Request> unanswered_;
 };
 
--- a/tests/process/load_parts_test.cc
+++ b/tests/process/load_parts_test.cc
@@ -79,6 +79,24 @@
   }
 }
 
+TEST(LoadPartsTest, AShareOfTheChatsIsMarked) {
+  auto profile = FindProfile("coopline", "", "");
+  ASSERT_TRUE(profile.ok());
+  profile->mark = "bad";
+  profile->marked_share = 0.25;
+  Workload workload(*profile, 100, 7);
+  int chats = 0;
+  int marked = 0;
+  for (int i = 0; i < 2000; ++i) {
+    const PlannedCall call = workload.Next();
+    const bool is_marked = call.prompt.starts_with("bad ");
+    EXPECT_TRUE(call.kind->service.empty() || !is_marked);
+    chats += call.kind->service.empty() ? 1 : 0;
+    marked += is_marked ? 1 : 0;
+  }
+  EXPECT_NEAR(marked, chats / 4.0, 100);
+}
+
 TEST(LoadPartsTest, QuantilesAreWithinABin) {
   LatencyHistogram histogram;
   for (int i = 1; i <= 1000; ++i) {
--- a/tests/process/standin_test.cc
+++ b/tests/process/standin_test.cc
@@ -56,6 +56,16 @@
   });
 }
 
+TEST(StandinTest, AnEngineCrashesOnAMarkedPromptAndComesBack) {
+  const StandinProcess standin(SmallPlatform());
+  ASSERT_TRUE(Warm(standin));
+  ASSERT_TRUE(standin.SetFault(
+      {{"kind", "server"}, {"name", "engine"}, {"crash_on", "why bad"}}));
+  EXPECT_NE(Chat(standin, "bad one").status, 200);
+  EXPECT_TRUE(Eventually([&] { return Chat(standin, "good").status == 200; }));
+  EXPECT_NE(Chat(standin, "bad two").status, 200);
+}
+
 TEST(StandinTest, ObjectsChangeOnlyUnderTheirVersion) {
   const StandinProcess standin(SmallPlatform());
   ASSERT_TRUE(standin.ready());
