Evaluate crash reports of peers once a tick

Reports now take effect with the next tick of 100 ms, and witnesses whose parts were all answered are left out.

--- a/src/libzinniastep/gateway/part_quarantine.cc
+++ b/src/libzinniastep/gateway/part_quarantine.cc
@@ -58,6 +58,12 @@
   return chosen;
 }
 
+// Whether all of its parts were answered since.
+auto IsCleared(const CrashWitness& witness) -> bool {
+  const std::uint32_t all = (1U << witness.parts.size()) - 1U;
+  return (witness.cleared & all) == all;
+}
+
 auto TrialPause(const HeldParts& held) -> std::optional<Duration> {
   const std::span<const Duration> pauses =
       held.endings >= kStrongEndings
@@ -177,9 +183,7 @@
 auto PartQuarantine::EvictWitness() -> void {
   const auto rank = [](const auto& item) {
     const CrashWitness& witness = item.second;
-    const bool is_useful =
-        (~witness.cleared & ((1U << witness.parts.size()) - 1U)) != 0;
-    return std::pair(is_useful, witness.ended_at);
+    return std::pair(!IsCleared(witness), witness.ended_at);
   };
   const auto worst = std::ranges::min_element(witnesses_, {}, rank);
   unsent_witnesses_.erase(worst->first);
@@ -235,7 +239,6 @@
       changed_ = true;
     }
   }
-  Update(now);
 }
 
 auto PartQuarantine::Update(Instant now) -> void {
@@ -246,6 +249,9 @@
   std::vector<CrashWitness> witnesses;
   witnesses.reserve(witnesses_.size());
   for (const auto& [id, witness] : witnesses_) {
+    if (IsCleared(witness)) {
+      continue;
+    }
     witnesses.push_back(witness);
     evaluate_until_ =
         std::max(evaluate_until_, witness.ended_at + kSuspicionDelay);
--- a/src/libzinniastep/gateway/part_quarantine.h
+++ b/src/libzinniastep/gateway/part_quarantine.h
@@ -80,7 +80,8 @@
   // Notes that a server answered a request with the parts.
   auto OnAnswered(Instant now, std::span<const PromptPartId> parts) -> void;
 
-  // Merges what a peer reported.
+  // Merges what a peer reported. It takes effect with the next Update(), so
+  // that many reports in a short time cost little.
   auto Merge(Instant now, const CrashReport& report) -> void;
 
   // The number of hosts of the fleet.
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -181,7 +181,6 @@
 
 auto TrafficEngine::OnCrashReport(const CrashReport& report) -> void {
   quarantine_.Merge(Now(), report);
-  OnHeldParts();
 }
 
 auto TrafficEngine::ReleasePart(PromptPartId part) -> bool {
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -79,7 +79,8 @@
   [[nodiscard]] auto TakeCrashNews() -> std::optional<CrashReport>;
   // Returns a summary for peers that lost news.
   [[nodiscard]] auto CrashSummary() const -> std::optional<CrashReport>;
-  // Takes what a peer knows of prompt parts that crash servers.
+  // Takes what a peer knows of prompt parts that crash servers, for the next
+  // TakeCrashNews().
   auto OnCrashReport(const CrashReport& report) -> void;
   // Releases the prompt parts that are held with this one, on behalf of an
   // operator. Returns whether any were.
--- a/tests/gateway/part_quarantine_test.cc
+++ b/tests/gateway/part_quarantine_test.cc
@@ -102,11 +102,13 @@
   ASSERT_TRUE(news.has_value());
   EXPECT_FALSE(first.TakeNews(At(3100)).has_value());
   second.Merge(At(3120), *news);
+  second.Update(At(3120));
   EXPECT_TRUE(IsRefused(second, At(3130)));
   // An answer at one host clears the parts at the other one.
   second.OnAnswered(At(4000), kParts);
   second.Update(At(4000));
   first.Merge(At(4020), *second.TakeNews(At(4000)));
+  first.Update(At(4020));
   EXPECT_FALSE(IsRefused(first, At(4030)));
 }
 
@@ -132,6 +134,7 @@
   EXPECT_TRUE(IsRefused(first, At(3100)));
   PartQuarantine started(2);
   started.Merge(At(30000), *first.Summary(At(30000)));
+  started.Update(At(30000));
   EXPECT_TRUE(started.IsHeld(kParts));
 }
 
@@ -140,6 +143,7 @@
   PartQuarantine second(2);
   HoldParts(first);
   second.Merge(At(3100), *first.TakeNews(At(3100)));
+  second.Update(At(3100));
   const auto trial = WaitForTrial(first, At(3100), seconds(20));
   ASSERT_TRUE(trial.has_value());
   second.Merge(*trial, *first.TakeNews(*trial));
--- a/tests/traffic/operator_page_test.cc
+++ b/tests/traffic/operator_page_test.cc
@@ -35,6 +35,7 @@
           {end, end, end, 4000000 - end * 1000000, 200000, {1, 9}, 0, 0});
     }
     engine_.OnCrashReport(report);
+    (void)engine_.TakeCrashNews();
   }
 
   auto Call(http::verb method,
