Drop crash witnesses that say nothing any more, for good

A host's table filled with witnesses whose parts were all answered; dropping one made room for a copy from a peer, which went out again as news. They now leave after 15 s, and a host refuses what it has dropped. That the tables were the cause is concluded from the change alone: the test of many witnesses passes without it as well.

--- a/src/libzinniastep/gateway/part_quarantine.cc
+++ b/src/libzinniastep/gateway/part_quarantine.cc
@@ -10,12 +10,15 @@
 namespace {
 
 constexpr std::size_t kMaxWitnesses = 512;
+constexpr std::size_t kMaxForgotten = 4096;
 constexpr std::size_t kMaxTrialEntries = 128;
 constexpr std::size_t kMaxLeftSends = 64;
 // A server that began an answer that nobody waits for ends within this time.
 constexpr Duration kLeftSendTime = std::chrono::seconds(1);
 // A witness is forgotten after this time.
 constexpr Duration kWitnessLifetime = std::chrono::minutes(10);
+// One whose parts were all answered is kept until all peers know so.
+constexpr Duration kClearedLifetime = std::chrono::seconds(15);
 // While requests with the held parts still come, it is kept for longer.
 constexpr Duration kMaxWitnessAge = std::chrono::hours(1);
 constexpr auto kMaxWitnessAgeUs =
@@ -185,9 +188,20 @@
     const CrashWitness& witness = item.second;
     return std::pair(!IsCleared(witness), witness.ended_at);
   };
-  const auto worst = std::ranges::min_element(witnesses_, {}, rank);
-  unsent_witnesses_.erase(worst->first);
-  witnesses_.erase(worst);
+  Forget(std::ranges::min_element(witnesses_, {}, rank)->first);
+}
+
+auto PartQuarantine::Forget(std::uint64_t id) -> void {
+  witnesses_.erase(id);
+  unsent_witnesses_.erase(id);
+  if (!forgotten_.insert(id).second) {
+    return;
+  }
+  forgotten_order_.push_back(id);
+  if (forgotten_order_.size() > kMaxForgotten) {
+    forgotten_.erase(forgotten_order_.front());
+    forgotten_order_.pop_front();
+  }
 }
 
 auto PartQuarantine::Merge(Instant now, const CrashReport& report) -> void {
@@ -195,7 +209,7 @@
   for (const CrashRow& row : report.rows) {
     if (++rows > kMaxNewsRows || row.parts.empty() ||
         row.parts.size() > kMaxWitnessParts || row.age_us > kMaxWitnessAgeUs ||
-        row.took_us > kMaxWitnessAgeUs) {
+        row.took_us > kMaxWitnessAgeUs || forgotten_.contains(row.id)) {
       continue;
     }
     CrashWitness witness;
@@ -384,17 +398,20 @@
       wanted.insert(held.parts.begin(), held.parts.end());
     }
   }
-  const std::size_t expired = std::erase_if(witnesses_, [&](const auto& item) {
-    const CrashWitness& witness = item.second;
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, witness] : witnesses_) {
     const Duration age = now - witness.ended_at;
-    if (age <= kWitnessLifetime) {
-      return false;
+    const bool is_wanted =
+        age <= kWitnessLifetime ||
+        std::ranges::any_of(witness.parts, [&](PromptPartId part) {
+          return wanted.contains(part);
+        });
+    if (age > kMaxWitnessAge || !is_wanted ||
+        (IsCleared(witness) && age > kClearedLifetime)) {
+      expired.push_back(id);
     }
-    const bool is_wanted = std::ranges::any_of(
-        witness.parts,
-        [&](PromptPartId part) { return wanted.contains(part); });
-    return age > kMaxWitnessAge || !is_wanted;
-  });
+  }
+  std::ranges::for_each(expired, [this](std::uint64_t id) { Forget(id); });
   std::erase_if(trials_, [&](const auto& item) {
     return now - item.second.last_at > kMaxWitnessAge;
   });
@@ -402,7 +419,7 @@
     trials_.erase(std::ranges::min_element(
         trials_, {}, [](const auto& item) { return item.second.last_at; }));
   }
-  changed_ = changed_ || expired > 0;
+  changed_ = changed_ || !expired.empty();
 }
 
 auto PartQuarantine::RowOf(Instant now, const CrashWitness& witness) const
--- a/src/libzinniastep/gateway/part_quarantine.h
+++ b/src/libzinniastep/gateway/part_quarantine.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <set>
 #include <span>
-#include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -137,6 +137,9 @@
   auto Insert(CrashWitness witness) -> void;
   auto Expire(Instant now) -> void;
   auto EvictWitness() -> void;
+  // Drops a witness and refuses it from then on: a peer that still has it would
+  // send it again and again.
+  auto Forget(std::uint64_t id) -> void;
   auto ScheduleTrial(HeldParts& held) -> void;
   [[nodiscard]] auto TrialsOf(std::span<const PromptPartId> parts) const
       -> Trials;
@@ -146,6 +149,9 @@
   Random random_;
   AnsweredParts answered_;
   std::map<std::uint64_t, CrashWitness> witnesses_;
+  // Ids of witnesses that were dropped, in that order and to look them up.
+  std::deque<std::uint64_t> forgotten_order_;
+  std::unordered_set<std::uint64_t> forgotten_;
   std::deque<LeftSend> left_;
   std::map<PromptPartId, Trials> trials_;
   std::vector<HeldParts> held_;
--- a/tests/gateway/part_quarantine_test.cc
+++ b/tests/gateway/part_quarantine_test.cc
@@ -186,6 +186,37 @@
   EXPECT_LE(quarantine.witness_count(), 512U);
 }
 
+// More witnesses than a table holds, all of them cleared.
+TEST(PartQuarantine, NewsOfManyEndsComeToAnEnd) {
+  std::vector<PartQuarantine> hosts;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    hosts.emplace_back(seed);
+  }
+  for (std::uint64_t end = 1; end <= 1600; ++end) {
+    const std::vector<PromptPartId> parts = {end * 2, end * 2 + 1};
+    const Instant now = At(static_cast<std::int64_t>(end));
+    End(hosts[end % 4], now, end, parts);
+    for (PartQuarantine& host : hosts) {
+      host.OnAnswered(now + milliseconds(1), parts);
+    }
+  }
+  int rounds = 0;
+  bool has_news = true;
+  for (Instant now = At(2000); has_news; now += milliseconds(100)) {
+    ASSERT_LT(++rounds, 60);
+    has_news = false;
+    for (std::size_t from = 0; from < hosts.size(); ++from) {
+      const auto news = hosts[from].TakeNews(now);
+      has_news = has_news || news.has_value();
+      for (std::size_t to = 0; news.has_value() && to < hosts.size(); ++to) {
+        if (to != from) {
+          hosts[to].Merge(now, *news);
+        }
+      }
+    }
+  }
+}
+
 TEST(PartQuarantine, IgnoresRowsThatNoHostSends) {
   PartQuarantine quarantine(1);
   CrashReport report;
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -61,6 +61,8 @@
   // Requests without a crashing part, and those of them that were refused.
   std::size_t sound = 0;
   std::size_t sound_refused = 0;
+  // Rows of the reports that hosts sent to each other.
+  std::size_t rows_sent = 0;
 };
 
 // Plays a scenario in virtual time: hosts with a quarantine each, and servers
