--- a/tests/support/crash_fleet.cc
+++ b/tests/support/crash_fleet.cc
@@ -258,8 +258,8 @@
       peers.insert(peer);
     }
   }
-  result_.rows_sent += peers.size() * (report.rows.size() +
-                                       report.trials.size());
+  result_.rows_sent +=
+      peers.size() * (report.rows.size() + report.trials.size());
   for (const std::size_t peer : peers) {
     if (hosts_[host].cut == hosts_[peer].cut && !Chance(scenario_.loss)) {
       letters_.emplace(now_ + Between(milliseconds(1), scenario_.longest_delay),
