--- a/src/libzinniastep/gateway/part_quarantine.h
+++ b/src/libzinniastep/gateway/part_quarantine.h
@@ -55,12 +55,10 @@
 
 using PartAdmission = std::variant<PartsAdmitted, PartsOnTrial, PartsHeld>;
 
-// Refuses requests with prompt parts that crash servers. Hosts exchange the
-// sends that were unanswered when servers ended, and which of their parts were
-// answered since; each host derives from them which parts to hold, so that all
-// hosts come to the same result. Now and then a request of a held part is sent
-// as a trial, and an answer to any request with the part releases it.
-// All tables are bounded.
+// Refuses requests with prompt parts that crash servers. All hosts derive the
+// same held parts from the evidence that they exchange. An answer to any
+// request with a held part releases it, and now and then one is sent as a
+// trial. All tables are bounded.
 class PartQuarantine {
  public:
   // `seed` differs between hosts.
