Review case 4: a server's Retry-After is not read

Shown: in a burst, full servers that answer 503 with Retry-After go on getting requests from the same machine in the time that they asked for.

--- a/review/standins/server.h
+++ b/review/standins/server.h
@@ -59,6 +59,7 @@
   // Ends the server: its connections are reset.
   auto Exit() -> void;
   auto arrivals() -> std::vector<Arrival>;
+  [[nodiscard]] auto running() const -> int { return running_; }
   // Requests that were at work when the server ended.
   [[nodiscard]] auto cut_runs() const -> int { return cut_runs_; }
 
