--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -117,6 +117,7 @@
   plan.port = FreePort({plan.ip});
   plan.zone = "perth-north";
   plan.work_ms = work_ms;
+  plan.slots = 6;
   servers_.push_back(std::make_unique<Server>(plan, record_));
   store_.Put("servers", id, servers_.back()->Entry());
   return *servers_.back();
--- a/review/standins/server.h
+++ b/review/standins/server.h
@@ -3,6 +3,7 @@
 #define REVIEW_STANDINS_SERVER_H_
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -36,6 +37,8 @@
   std::string version = "v1";
   int work_ms = 20;
   int slots = 8;
+  // Requests that wait for a slot.
+  int queue = 4;
 };
 
 class Server {
@@ -59,7 +62,8 @@
   // Ends the server: its connections are reset.
   auto Exit() -> void;
   auto arrivals() -> std::vector<Arrival>;
-  [[nodiscard]] auto running() const -> int { return running_; }
+  // Whether as many requests run and wait as the server takes.
+  auto IsFull() -> bool;
   // Requests that were at work when the server ended.
   [[nodiscard]] auto cut_runs() const -> int { return cut_runs_; }
 
@@ -76,7 +80,9 @@
   Reply reply_;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> ended_ = false;
-  std::atomic<int> running_ = 0;
+  std::condition_variable slot_free_;
+  int waiting_ = 0;
+  int running_ = 0;
   std::atomic<int> cut_runs_ = 0;
   std::unique_ptr<Listener> listener_;
 };
