Send nothing more to a server that says in an answer that it leaves

What callers saw: a server that leaves says so in its answers, and a host that was cut off from the store went on sending it requests until it ended; those it had begun were lost (502).

Cause: a server left the choice of a host only by its entry in the store's list. Answers were read for load, refusal and confidence, and their word on leaving was passed on unread.

Change: ServerConnection shows each head that it parses to an observer before anything else decides about it, also when it closes. LeavingServers keeps the incarnations that said so; ServerChooser asks it in each choice, so that new and waiting requests, repeats, resumed streams, escalations, returns and pinned sessions are bound alike. Idle connections belong to an incarnation.

--- a/src/libzinniastep/gateway/server_chooser.cc
+++ b/src/libzinniastep/gateway/server_chooser.cc
@@ -49,6 +49,8 @@
   switch (reason) {
     case NoServerReason::kNoEligibleServer:
       return "no_eligible_server";
+    case NoServerReason::kLeaving:
+      return "leaving";
     case NoServerReason::kAvoided:
       return "avoided";
     case NoServerReason::kColdLimit:
@@ -67,7 +69,8 @@
       region_(std::move(region)) {}
 
 auto ServerChooser::SetView(Instant now,
-                            std::shared_ptr<const TrafficView> view) -> void {
+                            std::shared_ptr<const TrafficView> view)
+    -> std::vector<LeavingServers::Ended> {
   view_ = std::move(view);
   std::map<BackendServerId, ServerState> kept;
   for (const UsableBackend& backend : view_->backends) {
@@ -94,6 +97,7 @@
     }
   }
   server_states_ = std::move(kept);
+  return leaving_.Update(now, view_->backends);
 }
 
 auto ServerChooser::RegionOf(const FailureDomainId& domain) const -> RegionId {
@@ -150,6 +154,14 @@
   return AllowedBySplit(backend, need, now, target_unavailable);
 }
 
+auto ServerChooser::MayServeNew(Instant now,
+                                const UsableBackend& backend,
+                                const ServerNeed& need,
+                                bool target_unavailable) const -> bool {
+  return !leaving_.Contains(backend.entry.id, backend.entry.started) &&
+         MayServe(now, backend, need, target_unavailable);
+}
+
 auto ServerChooser::IsAvoided(Instant now,
                               const BackendServerId& server,
                               bool last_resort) const -> bool {
@@ -253,7 +265,7 @@
   std::vector<const UsableBackend*> candidates;
   for (const bool target_unavailable : {false, true}) {
     for (const UsableBackend& backend : view_->backends) {
-      if (MayServe(now, backend, need, target_unavailable) &&
+      if (MayServeNew(now, backend, need, target_unavailable) &&
           (!need.among.empty() ||
            !IsAvoided(now, backend.entry.id, last_resort))) {
         candidates.push_back(&backend);
@@ -279,16 +291,29 @@
       return backend;
     }
   }
-  if (reason_ == NoServerReason::kNoEligibleServer &&
-      std::ranges::any_of(view_->backends, [&](const UsableBackend& backend) {
-        return MayServe(now, backend, need, false) ||
-               MayServe(now, backend, need, true);
-      })) {
-    reason_ = NoServerReason::kAvoided;
+  if (reason_ == NoServerReason::kNoEligibleServer) {
+    reason_ = ReasonWithoutCandidates(now, need);
   }
   return nullptr;
 }
 
+auto ServerChooser::ReasonWithoutCandidates(Instant now,
+                                            const ServerNeed& need) const
+    -> NoServerReason {
+  NoServerReason reason = NoServerReason::kNoEligibleServer;
+  for (const UsableBackend& backend : view_->backends) {
+    for (const bool target_unavailable : {false, true}) {
+      if (MayServeNew(now, backend, need, target_unavailable)) {
+        return NoServerReason::kAvoided;
+      }
+      if (MayServe(now, backend, need, target_unavailable)) {
+        reason = NoServerReason::kLeaving;
+      }
+    }
+  }
+  return reason;
+}
+
 auto ServerChooser::ChooseFrom(
     Instant now,
     const ServerNeed& need,
@@ -377,6 +402,10 @@
   state.load_at = now;
 }
 
+auto ServerChooser::OnLeaving(Instant now, const BackendEntry& server) -> bool {
+  return leaving_.Learn(now, server.id, server.started);
+}
+
 auto ServerChooser::OnProgress(Instant now, const BackendServerId& server)
     -> void {
   const auto found = server_states_.find(server);
@@ -402,7 +431,8 @@
   double slots = 0.0;
   for (const UsableBackend& backend : view_->backends) {
     if (backend.entry.service == service &&
-        !view_->evacuated.contains(backend.entry.domain)) {
+        !view_->evacuated.contains(backend.entry.domain) &&
+        !leaving_.Contains(backend.entry.id, backend.entry.started)) {
       load += Load(now, backend.entry.id);
       slots += backend.entry.slots;
     }
@@ -413,7 +443,8 @@
 auto ServerChooser::IsUsable(const BackendServerId& server) const -> bool {
   return view_ != nullptr &&
          std::ranges::any_of(view_->backends, [&](const UsableBackend& known) {
-           return known.entry.id == server;
+           return known.entry.id == server &&
+                  !leaving_.Contains(server, known.entry.started);
          });
 }
 
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -14,6 +14,7 @@
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/backend_entry.h"
 #include "libzinniastep/gateway/forward_decision.h"
+#include "libzinniastep/gateway/leaving_servers.h"
 
 namespace zinniastep {
 
@@ -45,6 +46,8 @@
 enum class NoServerReason : std::uint8_t {
   // No listed server may serve the request.
   kNoEligibleServer,
+  // All eligible servers said that they leave.
+  kLeaving,
   // Sends to all eligible servers failed a short time ago.
   kAvoided,
   // All eligible servers have used up their cold-start limit.
@@ -72,8 +75,10 @@
   ServerChooser(HostId self, FailureDomainId domain, RegionId region);
 
   // Replaces the view. State of servers that are no longer listed is dropped
-  // unless requests to them are open.
-  auto SetView(Instant now, std::shared_ptr<const TrafficView> view) -> void;
+  // unless requests to them are open. Returns the servers that are no longer
+  // taken for leaving.
+  auto SetView(Instant now, std::shared_ptr<const TrafficView> view)
+      -> std::vector<LeavingServers::Ended>;
 
   // Returns a server of the current view, or null; reason() then returns why.
   // Charges the request to a cold server's limit.
@@ -91,6 +96,12 @@
   auto OnLoad(Instant now,
               const BackendServerId& server,
               const ServerLoad& load) -> void;
+  // Notes that the server said that it leaves: it is not chosen again. Returns
+  // whether that is news.
+  auto OnLeaving(Instant now, const BackendEntry& server) -> bool;
+  [[nodiscard]] auto leaving() const -> const LeavingServers& {
+    return leaving_;
+  }
   // Records that bytes were received from the server.
   auto OnProgress(Instant now, const BackendServerId& server) -> void;
 
@@ -144,6 +155,15 @@
                               const UsableBackend& backend,
                               const ServerNeed& need,
                               bool target_unavailable) const -> bool;
+  // The same for a server that does not leave.
+  [[nodiscard]] auto MayServeNew(Instant now,
+                                 const UsableBackend& backend,
+                                 const ServerNeed& need,
+                                 bool target_unavailable) const -> bool;
+  // Why none of the candidates was chosen, as far as the view tells.
+  [[nodiscard]] auto ReasonWithoutCandidates(Instant now,
+                                             const ServerNeed& need) const
+      -> NoServerReason;
   // Returns whether the server is to be avoided after a failure. With
   // `last_resort` a server that was reached but cut off its answer is allowed.
   [[nodiscard]] auto IsAvoided(Instant now,
@@ -190,6 +210,7 @@
   RegionId region_;
   std::shared_ptr<const TrafficView> view_;
   std::map<BackendServerId, ServerState> server_states_;
+  LeavingServers leaving_;
   NoServerReason reason_ = NoServerReason::kNoEligibleServer;
 };
 
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -327,18 +327,24 @@
   // from, since this request uses no server twice.
   const bool may_be_late =
       (answer_begun_ || progress_.may_return) &&
-      engine_.chooser().reason() != NoServerReason::kNoEligibleServer;
+      engine_.chooser().reason() != NoServerReason::kNoEligibleServer &&
+      engine_.chooser().reason() != NoServerReason::kLeaving;
+  // Leaving servers do not come back before a later incarnation is listed.
+  const bool is_hopeless =
+      !answer_begun_ && left_.empty() &&
+      engine_.chooser().reason() == NoServerReason::kLeaving;
   const Duration longest =
-      may_be_late ? progress_.deadline - no_server_since_
-                  : std::min<Duration>(route_->target_latency / kServerWaitPart,
-                                       TimeLeft());
+      is_hopeless   ? Duration(0)
+      : may_be_late ? progress_.deadline - no_server_since_
+                    : std::min<Duration>(
+                          route_->target_latency / kServerWaitPart, TimeLeft());
   if (now - no_server_since_ < longest) {
     ArmTimer();
     return;
   }
   waiting_for_server_ = false;
   if (!answer_begun_ && !progress_.may_have_run) {
-    Refuse("no_server");
+    Refuse(is_hopeless ? "servers_leaving" : "no_server");
     return;
   }
   engine_.Log(
@@ -379,7 +385,7 @@
       !is_return &&
       (progress_.resumable || progress_.repeat_rule == RepeatRule::kIdempotent);
   const Reuse reuse = may_reuse ? Reuse::kAllowed : Reuse::kForbidden;
-  connection_ = engine_.pool().Take(backend.entry.address, reuse, attempt_id_);
+  connection_ = engine_.pool().Take(backend.entry, reuse, attempt_id_);
   if (connection_ == nullptr) {
     engine_.Log({"address_malformed",
                  {{"request", request_id_},
@@ -676,7 +682,11 @@
   engine_.chooser().OnEnd(now, server_->id);
   engine_.chooser().OnOutcome(now, server_->id, outcome);
   if (connection_ != nullptr) {
-    engine_.pool().Return(server_->address, std::move(connection_));
+    if (engine_.chooser().IsUsable(server_->id)) {
+      engine_.pool().Return(*server_, std::move(connection_));
+    } else {
+      connection_->Cancel();
+    }
     connection_ = nullptr;
   }
   server_.reset();
--- a/src/libzinniastep/traffic/forwarding_headers.h
+++ b/src/libzinniastep/traffic/forwarding_headers.h
@@ -26,6 +26,8 @@
   std::string last_event_id;
   // "RUNNING,WAITING,SLOTS" in a backend server's answers.
   std::string server_load;
+  // "1" in a backend server's answer says that the server leaves.
+  std::string server_leaving;
   // Its presence says that the backend server did not run the request.
   std::string not_executed;
   // Its presence says that the answer is a backend server's own.
--- a/src/libzinniastep/traffic/http_text.cc
+++ b/src/libzinniastep/traffic/http_text.cc
@@ -35,6 +35,15 @@
   return ToView(found->value());
 }
 
+auto HasValue(const http::fields& fields,
+              std::string_view name,
+              std::string_view value) -> bool {
+  const auto [first, last] = fields.equal_range(FromView(name));
+  return std::any_of(first, last, [value](const auto& field) {
+    return ToView(field.value()) == value;
+  });
+}
+
 auto IsContinueExpected(const http::fields& fields) -> bool {
   const auto found = fields.find(http::field::expect);
   return found != fields.end() &&
--- a/src/libzinniastep/traffic/http_text.h
+++ b/src/libzinniastep/traffic/http_text.h
@@ -38,6 +38,12 @@
                                std::string_view name)
     -> std::optional<std::string_view>;
 
+// Returns whether any header of that name has the value, apart from spaces
+// around it.
+[[nodiscard]] auto HasValue(const boost::beast::http::fields& fields,
+                            std::string_view name,
+                            std::string_view value) -> bool;
+
 // Returns whether the sender waits for a go-ahead before its body.
 [[nodiscard]] auto IsContinueExpected(const boost::beast::http::fields& fields)
     -> bool;
--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -1,5 +1,6 @@
 #include "libzinniastep/traffic/server_connection.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -65,14 +66,16 @@
 ServerConnection::ServerConnection(asio::io_context& io,
                                    asio::ip::tcp::endpoint endpoint,
                                    std::string attempt_id_header,
-                                   Duration undelivered_limit)
+                                   Duration undelivered_limit,
+                                   HeadObserver on_any_head)
     : socket_(io),
       connect_timer_(io),
       delivery_timer_(io),
       delivery_(undelivered_limit),
       undelivered_limit_(undelivered_limit),
       endpoint_(std::move(endpoint)),
-      attempt_id_header_(std::move(attempt_id_header)) {}
+      attempt_id_header_(std::move(attempt_id_header)),
+      on_any_head_(std::move(on_any_head)) {}
 
 auto ServerConnection::Send(std::string request,
                             std::string attempt_id,
@@ -212,16 +215,13 @@
 auto ServerConnection::OnBytes() -> void {
   if (exchange_ == nullptr) {
     // Bytes that nobody asked for.
+    ObserveStrayHead();
     Close();
     return;
   }
   while (usable_ && exchange_ != nullptr && buffer_.size() > 0 && !paused_) {
     if (!parser_.has_value()) {
-      parser_.emplace();
-      parser_->header_limit(kLongestHead);
-      parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-      parser_->eager(true);
-      head_done_ = false;
+      BeginParser();
     }
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
@@ -253,9 +253,47 @@
   }
 }
 
+auto ServerConnection::BeginParser() -> void {
+  parser_.emplace();
+  parser_->header_limit(kLongestHead);
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser_->eager(true);
+  head_done_ = false;
+}
+
+auto ServerConnection::ObserveStrayHead() -> void {
+  if (!connected_ || (parser_.has_value() && head_done_)) {
+    return;
+  }
+  const auto unparsed = buffer_.cdata();
+  std::string bytes(static_cast<const char*>(unparsed.data()), unparsed.size());
+  boost::system::error_code error;
+  const std::size_t come =
+      std::min<std::size_t>(socket_.available(error), kLongestHead);
+  if (!error && come > 0) {
+    const std::size_t before = bytes.size();
+    bytes.resize(before + come);
+    socket_.non_blocking(true, error);
+    const std::size_t read =
+        socket_.read_some(asio::buffer(bytes.data() + before, come), error);
+    bytes.resize(before + read);
+  }
+  if (bytes.empty()) {
+    return;
+  }
+  if (!parser_.has_value()) {
+    BeginParser();
+  }
+  parser_->put(asio::buffer(bytes), error);
+  if (parser_->is_header_done()) {
+    on_any_head_(parser_->get().base());
+  }
+}
+
 auto ServerConnection::OnHeadDone() -> void {
   head_done_ = true;
   const AnswerHead& head = parser_->get().base();
+  on_any_head_(head);
   const auto echoed = HeaderValue(head, attempt_id_header_);
   foreign_ = (echoed.has_value() && *echoed != attempt_id_) ||
              parser_->get().result_int() < 200;
@@ -298,7 +336,11 @@
                         buffer_.size() == 0 && !parser_->need_eof();
   idle_until_ = std::chrono::steady_clock::now() + IdleTime(head);
   delivery_timer_.cancel();
+  parser_.reset();
   if (!reusable) {
+    if (buffer_.size() > 0) {
+      ObserveStrayHead();
+    }
     if (!written_ || Undelivered() > 0) {
       DropUnsentOnClose(socket_.native_handle());
     }
@@ -307,7 +349,6 @@
     // Probes must not end the connection while the next request goes out.
     StopProbes(socket_.native_handle());
   }
-  parser_.reset();
   End(ExchangeEnd::kWhole);
 }
 
@@ -342,6 +383,7 @@
 
 auto ServerConnection::Cancel() -> void {
   if (std::exchange(exchange_, nullptr) != nullptr) {
+    ObserveStrayHead();
     DropUnsentOnClose(socket_.native_handle());
   }
   Close();
--- a/src/libzinniastep/traffic/server_connection.h
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -47,6 +47,10 @@
   virtual auto OnEnd(ExchangeEnd end) -> void = 0;
 };
 
+// Called with the head of each answer on a connection: interim ones, and those
+// that belong to no request under way, too.
+using HeadObserver = std::function<void(const AnswerHead& head)>;
+
 // One connection to a backend server. It carries one request at a time, finds
 // its answer by the attempt's id, and is of no further use after anything that
 // does not belong to the answer. Used on the traffic thread only.
@@ -56,10 +60,12 @@
   // connection is reset when bytes of a request stay on their way to the server
   // for `undelivered_limit`: the network may deliver them at any later time. A
   // server that acknowledges and reads nothing yet is not cut off.
+  // `on_any_head` is called before the exchange sees the head.
   ServerConnection(boost::asio::io_context& io,
                    boost::asio::ip::tcp::endpoint endpoint,
                    std::string attempt_id_header,
-                   Duration undelivered_limit);
+                   Duration undelivered_limit,
+                   HeadObserver on_any_head);
 
   // Sends a request, after connecting if need be. The exchange must stay until
   // its end or a cancellation.
@@ -114,6 +120,9 @@
   [[nodiscard]] auto IsAttributable(const AnswerHead& head) const -> bool;
   auto OnAnswerDone() -> void;
   auto DeliverBody() -> void;
+  // Finds the head of an answer that nobody waits for, in what has come.
+  auto ObserveStrayHead() -> void;
+  auto BeginParser() -> void;
   auto End(ExchangeEnd end) -> void;
   auto Close() -> void;
 
@@ -124,6 +133,7 @@
   Duration undelivered_limit_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::string attempt_id_header_;
+  HeadObserver on_any_head_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string request_;
--- a/src/libzinniastep/traffic/server_pool.cc
+++ b/src/libzinniastep/traffic/server_pool.cc
@@ -9,18 +9,24 @@
 
 ServerPool::ServerPool(boost::asio::io_context& io,
                        std::string attempt_id_header,
-                       Duration undelivered_limit)
+                       Duration undelivered_limit,
+                       ServerHeadObserver on_any_head)
     : io_(io),
       attempt_id_header_(std::move(attempt_id_header)),
-      undelivered_limit_(undelivered_limit) {}
+      undelivered_limit_(undelivered_limit),
+      on_any_head_(std::move(on_any_head)) {}
 
-auto ServerPool::Take(const std::string& address,
+auto ServerPool::KeyOf(const BackendEntry& server) -> Key {
+  return {server.id, server.started, server.address};
+}
+
+auto ServerPool::Take(const BackendEntry& server,
                       Reuse reuse,
                       std::string_view attempt_id)
     -> std::shared_ptr<ServerConnection> {
   const auto now = std::chrono::steady_clock::now();
   if (reuse == Reuse::kAllowed) {
-    auto& idle = idle_[address];
+    auto& idle = idle_[KeyOf(server)];
     // The one used last is the least likely to be closed by now.
     for (std::size_t index = idle.size(); index-- > 0;) {
       if (idle[index]->IsReusable(now) &&
@@ -35,28 +41,39 @@
       connection->Cancel();
     }
   }
-  const auto endpoint = ParseEndpoint(address);
+  const auto endpoint = ParseEndpoint(server.address);
   if (!endpoint.ok()) {
     return nullptr;
   }
   ++opened_;
-  return std::make_shared<ServerConnection>(io_, *endpoint, attempt_id_header_,
-                                            undelivered_limit_);
+  return std::make_shared<ServerConnection>(
+      io_, *endpoint, attempt_id_header_, undelivered_limit_,
+      [this, server](const AnswerHead& head) { on_any_head_(server, head); });
 }
 
-auto ServerPool::Return(const std::string& address,
+auto ServerPool::Return(const BackendEntry& server,
                         std::shared_ptr<ServerConnection> connection) -> void {
   if (!connection->IsReusable(std::chrono::steady_clock::now())) {
     connection->Cancel();
     return;
   }
   connection->BecomeIdle();
-  idle_[address].push_back(std::move(connection));
+  idle_[KeyOf(server)].push_back(std::move(connection));
+}
+
+auto ServerPool::CloseIdle(const BackendEntry& server) -> void {
+  const auto idle = idle_.extract(KeyOf(server));
+  if (idle.empty()) {
+    return;
+  }
+  for (const auto& connection : idle.mapped()) {
+    connection->Cancel();
+  }
 }
 
 auto ServerPool::Sweep() -> void {
   const auto now = std::chrono::steady_clock::now();
-  for (auto& [address, idle] : idle_) {
+  for (auto& [server, idle] : idle_) {
     std::erase_if(idle, [now](const auto& connection) {
       if (connection->IsReusable(now)) {
         return false;
--- a/src/libzinniastep/traffic/server_pool.h
+++ b/src/libzinniastep/traffic/server_pool.h
@@ -1,14 +1,19 @@
 #ifndef LIBZINNIASTEP_TRAFFIC_SERVER_POOL_H_
 #define LIBZINNIASTEP_TRAFFIC_SERVER_POOL_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 
+#include "libzinniastep/base/ids.h"
+#include "libzinniastep/gateway/backend_entry.h"
 #include "libzinniastep/traffic/server_connection.h"
 
 namespace zinniastep {
@@ -21,25 +26,34 @@
   kForbidden,
 };
 
-// Connections to backend servers that wait for their next request.
+// Connections to backend servers that wait for their next request. Each belongs
+// to one incarnation of a server: its address may be another's later.
 class ServerPool {
  public:
+  // Called with the head of each answer that comes from a server.
+  using ServerHeadObserver =
+      std::function<void(const BackendEntry& server, const AnswerHead& head)>;
+
   // Requests that a server does not take are dropped after
   // `undelivered_limit`.
   ServerPool(boost::asio::io_context& io,
              std::string attempt_id_header,
-             Duration undelivered_limit);
+             Duration undelivered_limit,
+             ServerHeadObserver on_any_head);
 
-  // Returns a connection to a numeric "address:port" for an attempt, or null
-  // for a malformed address. A used connection has not carried the attempt.
-  auto Take(const std::string& address,
+  // Returns a connection to a server for an attempt, or null if its address is
+  // malformed. A used connection has not carried the attempt.
+  auto Take(const BackendEntry& server,
             Reuse reuse,
             std::string_view attempt_id) -> std::shared_ptr<ServerConnection>;
 
   // Keeps a connection for the next request if it can carry one.
-  auto Return(const std::string& address,
+  auto Return(const BackendEntry& server,
               std::shared_ptr<ServerConnection> connection) -> void;
 
+  // Closes the idle connections to a server.
+  auto CloseIdle(const BackendEntry& server) -> void;
+
   // Closes idle connections that are past their time.
   auto Sweep() -> void;
 
@@ -47,10 +61,16 @@
   [[nodiscard]] auto opened() const -> std::uint64_t { return opened_; }
 
  private:
+  // Name and start of an incarnation, and its address.
+  using Key = std::tuple<BackendServerId, std::uint64_t, std::string>;
+
+  static auto KeyOf(const BackendEntry& server) -> Key;
+
   boost::asio::io_context& io_;
   std::string attempt_id_header_;
   Duration undelivered_limit_;
-  std::map<std::string, std::vector<std::shared_ptr<ServerConnection>>> idle_;
+  ServerHeadObserver on_any_head_;
+  std::map<Key, std::vector<std::shared_ptr<ServerConnection>>> idle_;
   std::uint64_t opened_ = 0;
 };
 
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -9,6 +9,7 @@
 
 #include "libzinniastep/traffic/delivery_watch.h"
 #include "libzinniastep/traffic/forwarder.h"
+#include "libzinniastep/traffic/http_text.h"
 #include "libzinniastep/traffic/server_probe.h"
 
 namespace zinniastep {
@@ -18,6 +19,8 @@
 // Part of the fleet's bound on repeats that hosts use; the rest is for requests
 // that callers sent and that reached no host.
 constexpr double kBudgetUsed = 0.9;
+// How a server says in its answers that it leaves.
+constexpr std::string_view kLeaves = "1";
 // A server that listens, and a machine on which nothing does, answer within a
 // round trip.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(350);
@@ -43,7 +46,12 @@
       random_(seed),
       view_(std::make_shared<TrafficView>()),
       chooser_(settings.host, settings.domain, settings.region),
-      pool_(io, headers_.attempt_id, UndeliveredLimit(settings.leaving_time)),
+      pool_(io,
+            headers_.attempt_id,
+            UndeliveredLimit(settings.leaving_time),
+            [this](const BackendEntry& server, const AnswerHead& head) {
+              OnServerHead(server, head);
+            }),
       quarantine_(random_.Next()) {}
 
 TrafficEngine::~TrafficEngine() {
@@ -61,7 +69,13 @@
 auto TrafficEngine::SetView(std::shared_ptr<const TrafficView> view) -> void {
   const bool has_new_routes = view->policy != view_->policy;
   view_ = std::move(view);
-  chooser_.SetView(Now(), view_);
+  for (const LeavingServers::Ended& ended : chooser_.SetView(Now(), view_)) {
+    Log({"server_leaving_over",
+         {{"server", ended.server.text()},
+          {"age_ms", std::to_string(Milliseconds(ended.age))},
+          {"reason", ended.was_replaced ? "replaced" : "no_room"}}});
+  }
+  metrics_.Set("leaving_servers", chooser_.leaving().size());
   quarantine_.SetHosts(view_->sharing_hosts);
   for (const auto& forwarder : active_) {
     forwarder->OnServersChanged();
@@ -137,6 +151,33 @@
   evidence_[key].Add(counts);
 }
 
+auto TrafficEngine::OnServerHead(const BackendEntry& server,
+                                 const AnswerHead& head) -> void {
+  // Another server than the one that was asked declines with 421.
+  if (head.result() != boost::beast::http::status::misdirected_request &&
+      HasValue(head, headers_.server_leaving, kLeaves) &&
+      chooser_.OnLeaving(Now(), server)) {
+    OnServerLeaves(server, head);
+  }
+}
+
+auto TrafficEngine::OnServerLeaves(const BackendEntry& server,
+                                   const AnswerHead& head) -> void {
+  metrics_.Count("servers_leaving");
+  metrics_.Set("leaving_servers", chooser_.leaving().size());
+  Log({"server_leaving",
+       {{"server", server.id.text()},
+        {"service", server.service.text()},
+        {"started", std::to_string(server.started)},
+        {"request", std::string(HeaderValue(head, headers_.attempt_id)
+                                    .value_or(std::string_view()))},
+        {"status", std::to_string(head.result_int())}}});
+  pool_.CloseIdle(server);
+  for (const auto& forwarder : active_) {
+    forwarder->OnServersChanged();
+  }
+}
+
 auto TrafficEngine::OnSendBroken(const BackendEntry& server,
                                  std::optional<UnansweredSend> unanswered)
     -> void {
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -137,6 +137,11 @@
   [[nodiscard]] auto metrics() -> Metrics& { return metrics_; }
 
  private:
+  // Takes note of what the head of any answer says of its server.
+  auto OnServerHead(const BackendEntry& server, const AnswerHead& head) -> void;
+  // Sends the server no new work, and tells the requests under way.
+  auto OnServerLeaves(const BackendEntry& server, const AnswerHead& head)
+      -> void;
   auto OnServerEnded(const BackendEntry& server, const BrokenSends& broken)
       -> void;
   // Acts on a change of which prompt parts are held.
--- a/tests/traffic/undelivered_bytes_test.cc
+++ b/tests/traffic/undelivered_bytes_test.cc
@@ -66,7 +66,8 @@
 
   auto Limit(Duration limit) -> void {
     connection_ = std::make_shared<ServerConnection>(
-        io_, acceptor_.local_endpoint(), "Zinniastep-Attempt-Id", limit);
+        io_, acceptor_.local_endpoint(), "Zinniastep-Attempt-Id", limit,
+        [](const AnswerHead&) {});
   }
 
   auto SendLongRequest() -> void {
