End a request whose connection brings only answers that are not its own

What callers saw: a server that sends interim answers, or answers to other requests, without end kept its request until the deadline, and a core of the host busy with reading them away; calls to sound servers took longer beside it.

Cause: ServerConnection lets such answers pass, since a late answer to an earlier request is sound, and counted neither them nor their bytes.

Change: a request lets 1 MiB of them pass. After that its connection is cut and the attempt counts as broken, so that the status stays true: 502 where it may have run, another server where it may run again.

Evidence: three new kinds in BytesWithoutEndEndTheConnectionAndGiveATrueStatus.

--- a/src/libzinniastep/traffic/server_connection.cc
+++ b/src/libzinniastep/traffic/server_connection.cc
@@ -23,6 +23,9 @@
 // Bytes that the parser may leave unread, such as a chunk's header or a trailer
 // without an end.
 constexpr std::size_t kLongestUnparsed = 65536;
+// Bytes of interim answers, and of answers to other requests, that a request
+// lets pass on its connection. One late answer to an earlier request fits.
+constexpr std::size_t kMostSkipped = std::size_t{1} << 20U;
 // The system ends a connection of its own accord only after this host had time
 // to reset it.
 constexpr Duration kSystemReserve = std::chrono::milliseconds(600);
@@ -92,6 +95,7 @@
   foreign_ = false;
   paused_ = false;
   delivery_limited_ = false;
+  skipped_bytes_ = 0;
   parser_.reset();
   if (connected_) {
     WriteRequest();
@@ -236,6 +240,11 @@
     if (exchange_ == nullptr) {
       return;
     }
+    skipped_bytes_ += foreign_ ? used : 0;
+    if (skipped_bytes_ > kMostSkipped) {
+      End(ExchangeEnd::kBroken);
+      return;
+    }
     DeliverBody();
     if (exchange_ == nullptr) {
       return;
--- a/src/libzinniastep/traffic/server_connection.h
+++ b/src/libzinniastep/traffic/server_connection.h
@@ -147,6 +147,8 @@
   bool head_done_ = false;
   // The answer being read belongs to an earlier request.
   bool foreign_ = false;
+  // Bytes of such answers since the request was sent.
+  std::size_t skipped_bytes_ = 0;
   bool usable_ = true;
   // The server must take the rest of the request within the limit.
   bool delivery_limited_ = false;
--- a/tests/traffic/forwarding_test.cc
+++ b/tests/traffic/forwarding_test.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -316,6 +317,10 @@
       "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n"
       "Zinniastep-Server-Signature: s\r\n";
   const std::string stuff(16384, 'z');
+  std::string interim;
+  for (int count = 0; count < 600; ++count) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
   const std::vector<EndlessAnswer> answers = {
       {"no answer", "", stuff},
       {"head", "HTTP/1.1 200 OK\r\n", "X-More: " + stuff + "\r\n"},
@@ -330,6 +335,15 @@
        "HTTP/1.1 500 Oh\r\nZinniastep-Attempt-Id: a1\r\n"
        "Transfer-Encoding: chunked\r\n\r\n",
        Chunk(stuff)},
+      {"interim answers", "", interim},
+      {"answers to other requests", "",
+       "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: other\r\n"
+       "Content-Length: 16384\r\n\r\n" +
+           stuff},
+      {"an answer to another request",
+       "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: other\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       Chunk(stuff)},
       {"body until close", head + "\r\n", stuff, std::size_t{96} << 20U}};
   for (const EndlessAnswer& endless : answers) {
     const ScriptedServer server([&endless](const std::string&) {
@@ -338,7 +352,12 @@
       return answer;
     });
     EngineHost host({&server});
+    const auto began = std::chrono::steady_clock::now();
     const CallerAnswer answer = host.Call(EngineHost::Request("/gen/"));
+    // The caller would wait for 15 s.
+    EXPECT_LT(std::chrono::steady_clock::now() - began,
+              std::chrono::seconds(10))
+        << endless.name;
     EXPECT_FALSE(answer.whole && answer.status == 200) << endless.name;
     EXPECT_NE(answer.status, 503) << endless.name << ": it may have run";
     EXPECT_TRUE(Eventually([&server] { return server.abandoned() == 1; }))
