End an exchange whose answer's head does not end

What callers saw: nothing yet.

Cause: HeadReader took each line that libcurl gave it, interim answers and trailers too, and bounded neither.

Change: a head has 64 KiB, with interim answers and trailers. TakeLine says so, and both HTTP clients and the tests' own end the exchange as not complete.

Evidence: OneWithAHeadWithoutEndIsNotComplete, with a head, interim answers and trailers of 200 KB; without the bound each was complete at both clients.

--- a/src/libzinniastep/runtime/head_reader.cc
+++ b/src/libzinniastep/runtime/head_reader.cc
@@ -36,10 +36,18 @@
 
 }  // namespace
 
-auto HeadReader::TakeLine(std::string_view line) -> void {
-  if (is_whole_) {
-    return;
+auto HeadReader::TakeLine(std::string_view line) -> bool {
+  length_ += line.size();
+  if (length_ > kLongestHead) {
+    return false;
+  }
+  if (!is_whole_) {
+    Parse(line);
   }
+  return true;
+}
+
+auto HeadReader::Parse(std::string_view line) -> void {
   if (line.starts_with(kStatusLine)) {
     headers_.clear();
     is_interim_ = IsInterim(line);
--- a/src/libzinniastep/runtime/head_reader.h
+++ b/src/libzinniastep/runtime/head_reader.h
@@ -1,6 +1,7 @@
 #ifndef LIBZINNIASTEP_RUNTIME_HEAD_READER_H_
 #define LIBZINNIASTEP_RUNTIME_HEAD_READER_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -11,14 +12,19 @@
 inline constexpr const char* kBrokenHead =
     "the head of the answer broke off or contradicts itself";
 
+// Longest head that is taken, in bytes, with interim answers and trailers.
+inline constexpr std::size_t kLongestHead = std::size_t{64} << 10U;
+
 // Reads the head of an HTTP/1.1 answer line by line, as libcurl's header
 // callback delivers it, and tells whether it is whole. libcurl 7.88.1 reports
 // success when the connection ends within a head.
 class HeadReader {
  public:
   // Takes one line with its line break. Interim answers (1xx) before the final
-  // head are dropped, and so are lines after it, which are trailers.
-  auto TakeLine(std::string_view line) -> void;
+  // head are dropped, and so are lines after it, which are trailers. Returns
+  // false when all lines together are longer than kLongestHead; the exchange
+  // must end then.
+  [[nodiscard]] auto TakeLine(std::string_view line) -> bool;
 
   // Whether the final head ended with an empty line and states no more than
   // one length.
@@ -34,7 +40,10 @@
   }
 
  private:
+  auto Parse(std::string_view line) -> void;
+
   std::map<std::string, std::string> headers_;
+  std::size_t length_ = 0;
   bool is_interim_ = false;
   bool is_whole_ = false;
   bool has_two_lengths_ = false;
--- a/src/libzinniastep/runtime/http_client.cc
+++ b/src/libzinniastep/runtime/http_client.cc
@@ -35,8 +35,8 @@
 auto TakeHeader(char* bytes, std::size_t size, std::size_t count, void* user)
     -> std::size_t {
   auto& receiver = *static_cast<Receiver*>(user);
-  receiver.head.TakeLine({bytes, size * count});
-  return size * count;
+  const std::size_t length = size * count;
+  return receiver.head.TakeLine({bytes, length}) ? length : 0;
 }
 
 auto ToMilliseconds(Duration time) -> long {
--- a/src/libzinniastep/runtime/http_loop.cc
+++ b/src/libzinniastep/runtime/http_loop.cc
@@ -121,8 +121,8 @@
                        std::size_t count,
                        void* self) -> std::size_t {
     auto* exchange = static_cast<Exchange*>(self);
-    exchange->head.TakeLine({data, size * count});
-    return size * count;
+    const std::size_t length = size * count;
+    return exchange->head.TakeLine({data, length}) ? length : 0;
   }
 
   // Runs on an open connection right before the request's first byte.
--- a/tests/concurrent/cut_answer_test.cc
+++ b/tests/concurrent/cut_answer_test.cc
@@ -124,6 +124,31 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\n"
         "ok"));
 
+TEST(WholeAnswerTest, OneWithAHeadWithoutEndIsNotComplete) {
+  const std::string line = "X-More: " + std::string(2000, 'z') + "\r\n";
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  std::string long_head = status;
+  std::string many_interim;
+  std::string long_trailer =
+      status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  for (int count = 0; count < 100; ++count) {
+    long_head += line;
+    long_trailer += line;
+    many_interim += "HTTP/1.1 102 Processing\r\n";
+    many_interim += line;
+    many_interim += "\r\n";
+  }
+  long_head += "Content-Length: 2\r\n\r\nok";
+  long_trailer += "\r\n";
+  many_interim += status;
+  many_interim += "Content-Length: 2\r\n\r\nok";
+  for (const std::string& answer : {long_head, long_trailer, many_interim}) {
+    for (const HttpResult& result : FetchWithBoth(answer)) {
+      EXPECT_FALSE(result.complete);
+    }
+  }
+}
+
 TEST(WholeAnswerTest, AfterAnInterimOneIsComplete) {
   for (const HttpResult& result :
        FetchWithBoth("HTTP/1.1 100 Continue\r\nX-Place: interim\r\n\r\n"
--- a/tests/process/http_client.cc
+++ b/tests/process/http_client.cc
@@ -15,8 +15,9 @@
 
 auto TakeHeader(char* data, std::size_t size, std::size_t count, void* target)
     -> std::size_t {
-  static_cast<HeadReader*>(target)->TakeLine({data, size * count});
-  return size * count;
+  const std::size_t length = size * count;
+  return static_cast<HeadReader*>(target)->TakeLine({data, length}) ? length
+                                                                    : 0;
 }
 
 }  // namespace
