Reserve memory for a peer's message as it comes, not as it is announced

What callers saw: nothing yet. Whoever reaches a host's peer port can announce messages of 2 MiB on many connections and send nothing more; signatures are checked only on whole messages.

Cause: PeerTransport made room for the announced length at once.

Change: a message's room grows by 64 KiB as its bytes come.

--- a/src/libzinniastep/runtime/peer_transport.cc
+++ b/src/libzinniastep/runtime/peer_transport.cc
@@ -1,5 +1,6 @@
 #include "libzinniastep/runtime/peer_transport.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstddef>
@@ -37,6 +38,8 @@
 constexpr int kProbes = 5;
 constexpr std::size_t kMostConnections = 256;
 constexpr std::size_t kLengthBytes = 4;
+// Bytes of a message that are waited for at a time.
+constexpr std::size_t kReadSize = std::size_t{64} << 10U;
 
 using LengthPrefix = std::array<unsigned char, kLengthBytes>;
 
@@ -105,24 +108,37 @@
 
  private:
   auto ReadBody() -> void {
-    const std::size_t length = DecodeLength(prefix_);
-    if (length > kLongestMessage) {
+    length_ = DecodeLength(prefix_);
+    if (length_ > kLongestMessage) {
       return;
     }
-    body_.resize(length);
+    body_.clear();
+    ReadPart();
+  }
+
+  // Grows the body as its bytes come: a length alone reserves nothing.
+  auto ReadPart() -> void {
+    const std::size_t before = body_.size();
+    body_.resize(std::min(length_, before + kReadSize));
     asio::async_read(
-        socket_, asio::buffer(body_),
+        socket_, asio::buffer(body_.data() + before, body_.size() - before),
         [self = shared_from_this()](const auto& error, std::size_t) {
-          if (!error) {
-            self->receiver_(self->body_);
-            self->ReadNext();
+          if (error) {
+            return;
+          }
+          if (self->body_.size() < self->length_) {
+            self->ReadPart();
+            return;
           }
+          self->receiver_(self->body_);
+          self->ReadNext();
         });
   }
 
   tcp::socket socket_;
   PeerTransport::Receiver& receiver_;
   LengthPrefix prefix_{};
+  std::size_t length_ = 0;
   std::string body_;
 };
 
--- a/tests/concurrent/peer_transport_test.cc
+++ b/tests/concurrent/peer_transport_test.cc
@@ -1,16 +1,23 @@
 #include "libzinniastep/runtime/peer_transport.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <condition_variable>
+#include <cstdint>
+#include <fstream>
 #include <mutex>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
@@ -100,6 +107,35 @@
   EXPECT_TRUE(testing::Eventually(message_came));
 }
 
+// Resident memory of this process in bytes.
+auto ResidentBytes() -> std::size_t {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t pages = 0;
+  statm >> pages >> pages;
+  return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+TEST(PeerTransportTest, ALengthWithoutAMessageReservesNothing) {
+  auto receiver = PeerTransport::Listen("127.0.0.1:0", [](std::string_view) {});
+  ASSERT_TRUE(receiver.ok());
+  const std::string address = (*receiver)->address();
+  const auto port = static_cast<std::uint16_t>(
+      std::stoi(address.substr(address.find(':') + 1)));
+  boost::asio::io_context io;
+  const std::size_t before = ResidentBytes();
+  using boost::asio::ip::tcp;
+  std::vector<tcp::socket> peers;
+  for (int peer = 0; peer < 64; ++peer) {
+    peers.emplace_back(io);
+    peers.back().connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    // 2 MiB, in little-endian order, and a first byte.
+    const std::string begun("\x00\x00\x20\x00z", 5);
+    boost::asio::write(peers.back(), boost::asio::buffer(begun));
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_LT(ResidentBytes(), before + (std::size_t{32} << 20U));
+}
+
 TEST(PeerTransportTest, ReportsAddressesThatCannotBeBound) {
   EXPECT_FALSE(
       PeerTransport::Listen("127.0.0.1", [](std::string_view) {}).ok());
