Bound the answers that the load tool keeps

An answer without an end filled the load tool's memory until the call's time was over: its sink kept all bytes, while HttpLoop's own sinks have a limit. It takes 4 MiB now, as they do, and the call counts as without an answer beyond that.

--- a/src/zinniastep-load/load_runner.cc
+++ b/src/zinniastep-load/load_runner.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMostTries = 4;
+constexpr std::size_t kLongestBody = std::size_t{4} << 20U;
 constexpr Duration kRetryPause = std::chrono::milliseconds(100);
 constexpr Duration kConnectWithin = std::chrono::seconds(2);
 // How much longer than its deadline a caller waits for an answer.
@@ -68,6 +69,9 @@
       first_token_at_ = tokens_ == 0 ? last_token_at_ : first_token_at_;
       tokens_ += tokens;
     }
+    if (body_.size() + data.size() > kLongestBody) {
+      return Flow::kStop;
+    }
     body_.append(data);
     return Flow::kContinue;
   }
