--- a/tests/gateway/leaving_servers_test.cc
+++ b/tests/gateway/leaving_servers_test.cc
@@ -20,6 +20,7 @@
 auto Listed(const std::vector<BackendEntry>& entries)
     -> std::vector<UsableBackend> {
   std::vector<UsableBackend> listed;
+  listed.reserve(entries.size());
   for (const BackendEntry& entry : entries) {
     listed.push_back({entry, Instant()});
   }
--- a/tests/traffic/leaving_server_test.cc
+++ b/tests/traffic/leaving_server_test.cc
@@ -33,7 +33,7 @@
 // A server that says once that it leaves and answers as before from then on.
 class Leaver {
  public:
-  explicit Leaver(ScriptedAnswer said)
+  explicit Leaver(const ScriptedAnswer& said)
       : server_([this, said](const std::string& request) {
           return ++calls_ == 1 ? said : Sound(request);
         }) {}
