Bound what a host holds for all of its callers together

Cause: each request has bounds, and nothing added them up. 1 MiB of a plain answer or a failure's body, an event of 256 KiB, what the caller has not taken, and the request itself with the copy that is sent count for each.

Change: HeldBytes is the sum over all callers' connections, and HeldShare one connection's part of it. Above half of `most_held_bytes` (64 MiB unless stated) plain answers are passed on from 64 KiB on and failures' bodies beyond that are broken; above the whole the largest parts end with what is known of their requests: not run, unknown, or an answer that breaks off. Ended are the largest, not the newest, so that sound callers stay served beside a faulty server.

--- a/src/libzinniastep/gateway/gateway_settings.cc
+++ b/src/libzinniastep/gateway/gateway_settings.cc
@@ -21,6 +21,7 @@
 constexpr double kDefaultLifetimeSeconds = 5.0;
 constexpr double kDefaultWindowSeconds = 10.0;
 constexpr double kDefaultRepeatShare = 0.1;
+constexpr std::size_t kLeastHeldBytes = std::size_t{1} << 20U;
 constexpr WholeRange kSomeItems{1, 1000};
 constexpr WholeRange kAnyItems{0, 1000};
 constexpr RealRange kAnyShare{0.0, 100.0};
@@ -137,6 +138,10 @@
   settings.most_descriptors = reader.Whole(
       "most_descriptors", {64, std::numeric_limits<std::uint32_t>::max()},
       Presence::kRequired);
+  settings.most_held_bytes =
+      reader.Whole("most_held_bytes",
+                   {kLeastHeldBytes, std::numeric_limits<std::uint32_t>::max()},
+                   Presence::kOptional, kDefaultHeldBytes);
   reader.Finish();
   if (findings.empty()) {
     parsed.value = std::move(settings);
--- a/src/libzinniastep/gateway/gateway_settings.h
+++ b/src/libzinniastep/gateway/gateway_settings.h
@@ -15,6 +15,9 @@
 
 namespace zinniastep {
 
+// A quarter of a small host's memory.
+inline constexpr std::size_t kDefaultHeldBytes = std::size_t{64} << 20U;
+
 // The settings of one gateway process. All addresses are numeric
 // "address:port".
 struct GatewaySettings {
@@ -50,6 +53,9 @@
   // The span in which repeats are counted.
   Duration repeat_window{0};
   std::size_t most_descriptors = 1024;
+  // Bytes that the host holds for all callers together at the most: requests,
+  // and answers that are not complete or not taken yet.
+  std::size_t most_held_bytes = kDefaultHeldBytes;
 };
 
 // The settings, or the errors found in them.
--- a/src/libzinniastep/traffic/caller_connection.cc
+++ b/src/libzinniastep/traffic/caller_connection.cc
@@ -43,11 +43,13 @@
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
                                    LimitsSource limits,
-                                   Handler handler)
+                                   Handler handler,
+                                   std::shared_ptr<HeldBytes> held)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       limits_source_(std::move(limits)),
-      handler_(std::move(handler)) {}
+      handler_(std::move(handler)),
+      held_(std::move(held), [this] { OnExcess(); }) {}
 
 auto CallerConnection::Start() -> void {
   boost::system::error_code ignored;
@@ -58,9 +60,36 @@
 }
 
 auto CallerConnection::Watch(std::function<void()> on_gone,
-                             std::function<void()> on_drained) -> void {
+                             std::function<void()> on_drained,
+                             std::function<void()> on_excess) -> void {
   on_gone_ = std::move(on_gone);
   on_drained_ = std::move(on_drained);
+  on_excess_ = std::move(on_excess);
+}
+
+auto CallerConnection::SetRequestBytes(std::size_t bytes) -> void {
+  request_bytes_ = bytes;
+  UpdateHeld();
+}
+
+auto CallerConnection::UpdateHeld() -> void {
+  if (closed_) {
+    return;
+  }
+  const std::size_t being_read =
+      parser_.has_value() ? parser_->get().body().size() : 0;
+  held_.Set(unsent_ + request_bytes_ + being_read);
+}
+
+auto CallerConnection::OnExcess() -> void {
+  const auto self = shared_from_this();
+  if (const auto on_excess = std::exchange(on_excess_, nullptr)) {
+    on_excess();
+  } else if (!busy_ && parser_.has_value()) {
+    RefuseUnread();
+  } else {
+    BreakOff();
+  }
 }
 
 auto CallerConnection::Arm(Duration time) -> void {
@@ -145,6 +174,7 @@
       RejectRequest(WholeAnswer(StatusFor(error), 11));
       return;
     }
+    UpdateHeld();
     if (parser_->is_header_done() && !parser_->is_done()) {
       Arm(limits_.idle_timeout);
       if (!continue_sent_ && IsContinueExpected(parser_->get())) {
@@ -213,6 +243,7 @@
   text.append(answer.body());
   finished_ = true;
   on_gone_ = nullptr;
+  on_excess_ = nullptr;
   Enqueue(std::move(text));
 }
 
@@ -240,6 +271,7 @@
 auto CallerConnection::Finish() -> void {
   finished_ = true;
   on_gone_ = nullptr;
+  on_excess_ = nullptr;
   if (chunked_) {
     Enqueue(boost::beast::buffers_to_string(http::make_chunk_last()));
   } else if (!writing_) {
@@ -253,6 +285,7 @@
   }
   unsent_ += bytes.size();
   outgoing_.push_back(std::move(bytes));
+  UpdateHeld();
   if (!writing_) {
     WriteNext();
   }
@@ -270,6 +303,7 @@
         }
         self->unsent_ -= self->outgoing_.front().size();
         self->outgoing_.pop_front();
+        self->UpdateHeld();
         if (!self->outgoing_.empty()) {
           self->WriteNext();
           return;
@@ -288,6 +322,8 @@
   finished_ = false;
   on_gone_ = nullptr;
   on_drained_ = nullptr;
+  on_excess_ = nullptr;
+  SetRequestBytes(0);
   if (!keep_alive_) {
     CloseGently();
     return;
@@ -313,6 +349,7 @@
 auto CallerConnection::BreakOff() -> void {
   on_gone_ = nullptr;
   on_drained_ = nullptr;
+  on_excess_ = nullptr;
   Close();
 }
 
@@ -331,6 +368,8 @@
     return;
   }
   closed_ = true;
+  held_.Set(0);
+  on_excess_ = nullptr;
   boost::system::error_code ignored;
   timer_.cancel();
   socket_.close(ignored);
--- a/src/libzinniastep/traffic/caller_connection.h
+++ b/src/libzinniastep/traffic/caller_connection.h
@@ -18,6 +18,8 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "libzinniastep/gateway/traffic_policy.h"
+#include "libzinniastep/traffic/held_bytes.h"
+#include "libzinniastep/traffic/held_share.h"
 
 namespace zinniastep {
 
@@ -39,15 +41,21 @@
 
   CallerConnection(boost::asio::ip::tcp::socket socket,
                    LimitsSource limits,
-                   Handler handler);
+                   Handler handler,
+                   std::shared_ptr<HeldBytes> held);
 
   // Begins to read.
   auto Start() -> void;
 
-  // Sets what is called when the caller leaves before the answer's end, and
-  // when all that was written has gone out.
-  auto Watch(std::function<void()> on_gone, std::function<void()> on_drained)
-      -> void;
+  // Sets what is called when the caller leaves before the answer's end, when
+  // all that was written has gone out, and when the request must end since the
+  // host holds too many bytes.
+  auto Watch(std::function<void()> on_gone,
+             std::function<void()> on_drained,
+             std::function<void()> on_excess) -> void;
+
+  // Sets the bytes that the request under way holds besides unsent().
+  auto SetRequestBytes(std::size_t bytes) -> void;
 
   // Writes a whole answer.
   auto Answer(WholeAnswer answer) -> void;
@@ -96,6 +104,9 @@
   auto WriteNext() -> void;
   auto OnAnswerDone() -> void;
   auto CloseGently() -> void;
+  auto UpdateHeld() -> void;
+  // Drops what is held for this caller, with what is known of its request.
+  auto OnExcess() -> void;
   auto Close() -> void;
   auto SetConnectionHeader(AnswerHead& head) -> void;
 
@@ -107,6 +118,9 @@
   Handler handler_;
   std::function<void()> on_gone_;
   std::function<void()> on_drained_;
+  std::function<void()> on_excess_;
+  HeldShare held_;
+  std::size_t request_bytes_ = 0;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::deque<std::string> outgoing_;
--- a/src/libzinniastep/traffic/event_splitter.h
+++ b/src/libzinniastep/traffic/event_splitter.h
@@ -35,6 +35,9 @@
     return begin_ < pending_.size();
   }
 
+  // Bytes that are kept.
+  [[nodiscard]] auto size() const -> std::size_t { return pending_.size(); }
+
   // Whether the part that is left is longer than any event may be; the stream
   // is of no further use then.
   [[nodiscard]] auto is_overlong() const -> bool {
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -107,7 +107,13 @@
         if (self != nullptr) {
           self->OnCallerDrained();
         }
+      },
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->EndForExcess();
+        }
       });
+  UpdateHeld();
   if (const unsigned status = FindPlace(); status != 0) {
     if (status == 503) {
       if (engine_.is_refusing()) {
@@ -528,11 +534,28 @@
   engine_.chooser().OnProgress(last_bytes_, server_->id);
   if (is_stream_) {
     TakeEvents(bytes);
-    return;
+  } else {
+    TakeBody(bytes);
+  }
+  if (!over_) {
+    UpdateHeld();
   }
+}
+
+auto Forwarder::UpdateHeld() -> void {
+  // A connection has a copy of the request's body while it sends it.
+  caller_->SetRequestBytes(2 * request_.body().size() + body_.size() +
+                           events_.size());
+}
+
+auto Forwarder::MostKept() const -> std::size_t {
+  return engine_.held()->is_scarce() ? kMostUnsent : kMostHeldBody;
+}
+
+auto Forwarder::TakeBody(std::string_view bytes) -> void {
   answer_bytes_ += bytes.size();
   if (answer_bytes_ > kLongestAnswer ||
-      (answer_bytes_ > kMostHeldBody && (not_run_ || server_failed_))) {
+      (answer_bytes_ > MostKept() && (not_run_ || server_failed_))) {
     EndOverlongAnswer();
     return;
   }
@@ -542,7 +565,7 @@
     caller_->Write(bytes);
   }
   if (!not_run_ && !server_failed_ && !answer_begun_ &&
-      body_.size() > kMostHeldBody) {
+      body_.size() > MostKept()) {
     answer_begun_ = true;
     progress_.caller_has_bytes = true;
     // Nothing can be joined to it.
@@ -837,14 +860,40 @@
   if (server_.has_value()) {
     DropAttempt(false);
   }
-  std::visit(Overloaded{[this](const RefuseNotRun&) {
-                          Refuse("shutting_down", kReturnElsewhere);
-                        },
-                        [this](const AbortAnswer&) {
+  EndUnanswered(is_sent, "shutting_down", kReturnElsewhere, "cut_by_shutdown");
+}
+
+auto Forwarder::EndForExcess() -> void {
+  if (over_) {
+    return;
+  }
+  const bool is_sent = connection_ != nullptr && connection_->is_sent();
+  engine_.metrics().Count("requests_cut_for_memory");
+  engine_.Log({"request_cut_for_memory",
+               {{"request", request_id_},
+                {"server", server_.has_value() ? server_->id.text() : ""},
+                {"sent", is_sent ? "yes" : "no"},
+                {"request_bytes", std::to_string(request_.body().size())},
+                {"answer_bytes", std::to_string(body_.size() + events_.size())},
+                {"unsent", std::to_string(caller_->unsent())},
+                {"all_bytes", std::to_string(engine_.held()->total())}}});
+  if (server_.has_value()) {
+    DropAttempt(false);
+  }
+  caller_->SetRequestBytes(0);
+  EndUnanswered(is_sent, "no_memory", {}, "cut_for_memory");
+}
+
+auto Forwarder::EndUnanswered(bool is_sent,
+                              std::string_view refusal,
+                              ReturnTime time,
+                              std::string_view cut) -> void {
+  std::visit(Overloaded{[&](const RefuseNotRun&) { Refuse(refusal, time); },
+                        [&](const AbortAnswer&) {
                           caller_->BreakOff();
-                          Over("cut_by_shutdown", 0);
+                          Over(cut, 0);
                         },
-                        [this](const auto&) { Fail(502, "cut_by_shutdown"); }},
+                        [&](const auto&) { Fail(502, cut); }},
              EndUnfinished(progress_, is_sent));
 }
 
@@ -1031,6 +1080,7 @@
 auto Forwarder::Over(std::string_view outcome, unsigned status) -> void {
   over_ = true;
   timer_.cancel();
+  caller_->SetRequestBytes(0);
   const Duration total = engine_.Now() - began_;
   engine_.metrics().Count("requests_" + std::string(outcome));
   engine_.metrics().Observe("request", total);
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -59,6 +59,9 @@
   // that breaks off.
   auto EndForShutdown() -> void;
 
+  // The same, since the host holds too many bytes.
+  auto EndForExcess() -> void;
+
   auto OnHead(const AnswerHead& head) -> void override;
   auto OnBody(std::string_view bytes) -> void override;
   auto OnEnd(ExchangeEnd end) -> void override;
@@ -84,6 +87,16 @@
   auto FinishAttempt(SendOutcome outcome) -> void;
   // Ends the send under way, of which the server is not to blame.
   auto DropAttempt(bool was_given_up) -> void;
+  // Ends the request as not run, with the reason `refusal`, or with what is
+  // known of it, with the reason `cut`.
+  auto EndUnanswered(bool is_sent,
+                     std::string_view refusal,
+                     ReturnTime time,
+                     std::string_view cut) -> void;
+  // Counts the bytes that the request holds.
+  auto UpdateHeld() -> void;
+  // Bytes of a plain answer that are kept before it is passed on.
+  [[nodiscard]] auto MostKept() const -> std::size_t;
   // The send under way if no part of its answer has come.
   [[nodiscard]] auto Unanswered(Instant now) const
       -> std::optional<UnansweredSend>;
@@ -91,6 +104,7 @@
   auto OnSendLeft(Instant now) -> void;
   auto TakeStep(const NextStep& step) -> void;
   auto Escalate() -> bool;
+  auto TakeBody(std::string_view bytes) -> void;
   auto TakeEvents(std::string_view bytes) -> void;
   // Ends the send whose server goes on for longer than any answer may be.
   auto EndOverlongAnswer() -> void;
--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -108,8 +108,8 @@
   const auto listen = [&](std::unique_ptr<HttpListener>& listener,
                           const std::string& address,
                           CallerConnection::Handler handler) -> absl::Status {
-    auto started =
-        HttpListener::Start(traffic_io_, address, limits, std::move(handler));
+    auto started = HttpListener::Start(traffic_io_, address, limits,
+                                       std::move(handler), engine_.held());
     if (!started.ok()) {
       return absl::UnavailableError(address + ": " +
                                     std::string(started.status().message()));
--- a/src/libzinniastep/traffic/http_listener.cc
+++ b/src/libzinniastep/traffic/http_listener.cc
@@ -22,14 +22,15 @@
 auto HttpListener::Start(asio::io_context& io,
                          std::string_view address,
                          CallerConnection::LimitsSource limits,
-                         CallerConnection::Handler handler)
+                         CallerConnection::Handler handler,
+                         std::shared_ptr<HeldBytes> held)
     -> absl::StatusOr<std::unique_ptr<HttpListener>> {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint.ok()) {
     return endpoint.status();
   }
-  auto listener =
-      std::make_unique<HttpListener>(io, std::move(limits), std::move(handler));
+  auto listener = std::make_unique<HttpListener>(
+      io, std::move(limits), std::move(handler), std::move(held));
   if (const absl::Status status = listener->Listen(*endpoint); !status.ok()) {
     return status;
   }
@@ -38,11 +39,13 @@
 
 HttpListener::HttpListener(asio::io_context& io,
                            CallerConnection::LimitsSource limits,
-                           CallerConnection::Handler handler)
+                           CallerConnection::Handler handler,
+                           std::shared_ptr<HeldBytes> held)
     : acceptor_(io),
       accept_pause_(io),
       limits_(std::move(limits)),
-      handler_(std::move(handler)) {}
+      handler_(std::move(handler)),
+      held_(std::move(held)) {}
 
 auto HttpListener::Listen(const asio::ip::tcp::endpoint& endpoint)
     -> absl::Status {
@@ -82,8 +85,8 @@
           });
           return;
         }
-        auto connection = std::make_shared<CallerConnection>(std::move(socket),
-                                                             limits_, handler_);
+        auto connection = std::make_shared<CallerConnection>(
+            std::move(socket), limits_, handler_, held_);
         Prune();
         connections_.push_back(connection);
         if (shutting_down_) {
--- a/src/libzinniastep/traffic/http_listener.h
+++ b/src/libzinniastep/traffic/http_listener.h
@@ -22,12 +22,14 @@
   static auto Start(boost::asio::io_context& io,
                     std::string_view address,
                     CallerConnection::LimitsSource limits,
-                    CallerConnection::Handler handler)
+                    CallerConnection::Handler handler,
+                    std::shared_ptr<HeldBytes> held)
       -> absl::StatusOr<std::unique_ptr<HttpListener>>;
 
   HttpListener(boost::asio::io_context& io,
                CallerConnection::LimitsSource limits,
-               CallerConnection::Handler handler);
+               CallerConnection::Handler handler,
+               std::shared_ptr<HeldBytes> held);
 
   // Begins to accept, once; further calls change nothing.
   auto BeginAccept() -> void;
@@ -59,6 +61,7 @@
   boost::asio::steady_timer accept_pause_;
   CallerConnection::LimitsSource limits_;
   CallerConnection::Handler handler_;
+  std::shared_ptr<HeldBytes> held_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
   bool accepting_ = false;
   bool shutting_down_ = false;
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -52,6 +52,7 @@
             [this](const BackendEntry& server, const AnswerHead& head) {
               OnServerHead(server, head);
             }),
+      held_bytes_(std::make_shared<HeldBytes>(io, settings.most_held_bytes)),
       quarantine_(random_.Next()) {}
 
 TrafficEngine::~TrafficEngine() {
@@ -97,6 +98,12 @@
          CanFinishBy(*shutdown_end_, Now(), progress, durations_.Find(route));
 }
 
+auto TrafficEngine::Sweep() -> void {
+  pool_.Sweep();
+  metrics_.Set("held_bytes", held_bytes_->total());
+  metrics_.Set("held_bytes_peak", held_bytes_->peak());
+}
+
 auto TrafficEngine::EndRequests() -> void {
   const std::vector<std::shared_ptr<Forwarder>> unfinished(active_.begin(),
                                                            active_.end());
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -29,6 +29,7 @@
 #include "libzinniastep/runtime/metrics.h"
 #include "libzinniastep/traffic/caller_connection.h"
 #include "libzinniastep/traffic/forwarding_headers.h"
+#include "libzinniastep/traffic/held_bytes.h"
 #include "libzinniastep/traffic/server_pool.h"
 
 namespace zinniastep {
@@ -69,8 +70,9 @@
   // Ends all requests under way, each with what is known of it.
   auto EndRequests() -> void;
 
-  // Closes idle connections that are past their time.
-  auto Sweep() -> void { pool_.Sweep(); }
+  // Closes idle connections that are past their time, and brings the metrics of
+  // what is held up to date.
+  auto Sweep() -> void;
 
   // Returns and forgets what answers have shown since the last call.
   [[nodiscard]] auto TakeEvidence() -> std::vector<VersionRow>;
@@ -131,6 +133,10 @@
   [[nodiscard]] auto io() -> boost::asio::io_context& { return io_; }
   [[nodiscard]] auto chooser() -> ServerChooser& { return chooser_; }
   [[nodiscard]] auto pool() -> ServerPool& { return pool_; }
+  // What all callers' connections count their bytes in.
+  [[nodiscard]] auto held() const -> const std::shared_ptr<HeldBytes>& {
+    return held_bytes_;
+  }
   [[nodiscard]] auto headers() const -> const ForwardingHeaders& {
     return headers_;
   }
@@ -156,6 +162,7 @@
   std::shared_ptr<const TrafficView> view_;
   ServerChooser chooser_;
   ServerPool pool_;
+  std::shared_ptr<HeldBytes> held_bytes_;
   std::map<ServiceId, RepeatBudget> budgets_;
   std::map<ServiceId, AnswerDelay> delays_;
   VersionEvidence evidence_;
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -115,10 +115,13 @@
 }  // namespace
 
 EngineHost::EngineHost(const std::vector<const ScriptedServer*>& servers,
-                       RepeatLimits limits)
-    : EngineHost(AddressesOf(servers), limits) {}
+                       RepeatLimits limits,
+                       std::size_t most_held_bytes)
+    : EngineHost(AddressesOf(servers), limits, most_held_bytes) {}
 
-EngineHost::EngineHost(const ServerAddresses& servers, RepeatLimits limits)
+EngineHost::EngineHost(const ServerAddresses& servers,
+                       RepeatLimits limits,
+                       std::size_t most_held_bytes)
     : work_(io_.get_executor()) {
   GatewaySettings settings;
   settings.host = HostId("h");
@@ -127,6 +130,7 @@
   settings.repeat_share = limits.share;
   settings.repeat_slack = limits.slack;
   settings.repeat_window = std::chrono::seconds(10);
+  settings.most_held_bytes = most_held_bytes;
   engine_ = std::make_unique<TrafficEngine>(
       io_, settings, platform::Headers(), metrics_,
       [this](const LogEvent& event) { log_.push_back(event); }, 1);
@@ -135,7 +139,8 @@
       io_, "127.0.0.1:0", [this] { return engine_->Limits(); },
       [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
         engine_->OnRequest(std::move(caller), std::move(request));
-      });
+      },
+      engine_->held());
   listener_ = *std::move(listener);
   listener_->BeginAccept();
   port_ = listener_->port();
@@ -270,6 +275,12 @@
   return promise.get_future().get();
 }
 
+auto EngineHost::HeldPeak() -> std::size_t {
+  std::promise<std::size_t> peak;
+  asio::post(io_, [&] { peak.set_value(engine_->held()->peak()); });
+  return peak.get_future().get();
+}
+
 auto EngineHost::Counted(const std::string& counter) -> std::uint64_t {
   const MetricsSnapshot metrics = metrics_.Snapshot();
   const auto found = metrics.counters.find(counter);
--- a/tests/traffic/engine_host.h
+++ b/tests/traffic/engine_host.h
@@ -48,9 +48,12 @@
 class EngineHost {
  public:
   explicit EngineHost(const std::vector<const ScriptedServer*>& servers,
-                      RepeatLimits limits = {});
+                      RepeatLimits limits = {},
+                      std::size_t most_held_bytes = kDefaultHeldBytes);
   // The same in front of servers at these addresses.
-  explicit EngineHost(const ServerAddresses& servers, RepeatLimits limits = {});
+  explicit EngineHost(const ServerAddresses& servers,
+                      RepeatLimits limits = {},
+                      std::size_t most_held_bytes = kDefaultHeldBytes);
   EngineHost(const EngineHost&) = delete;
   auto operator=(const EngineHost&) -> EngineHost& = delete;
   ~EngineHost();
@@ -89,9 +92,15 @@
   // Replaces the view by a copy that was changed, on the engine's thread.
   auto ChangeView(const std::function<void(TrafficView&)>& change) -> void;
 
+  // The most bytes that were held for all callers together.
+  auto HeldPeak() -> std::size_t;
+
   // Value of a counter of the host's metrics.
   auto Counted(const std::string& counter) -> std::uint64_t;
 
+  // The port at which the host listens.
+  [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+
   // Values of a field in all log events of that name so far.
   auto Logged(const std::string& event, const std::string& field)
       -> std::vector<std::string>;
