Refuse the repeats of a request that ended three servers

What callers saw: a request that crashes each server that begins to answer it went on to crash servers when its caller sent it again; requests beside it were cut.

Cause: the quarantine knew requests by the ids that callers draw anew for each try, and by the prompt parts that they share with sound requests. Those parts are answered all the while and convict nothing; requests without a prompt were no witnesses at all.

Ruled out: a part that shared_parts leaves out, and an account or route.

Change: RequestSignature hashes what a caller repeats. It is one more part of a witness, convicted at three ends of one request in a row, before parts that explain no more ends. Hosts exchange it in the message that they have; a bit of the mask of known parts says which part it is, which older hosts do not read. A hold of one request has its first trial after 30 s: a trial may end a server, and a hold that is wrong keeps no other request out.

Evidence: ARequestThatEndsServersIsNotSentAgainAndAgain. Without the conviction sound requests with the same shared parts were refused, and four servers ended where three may; now three end and the sound ones are served.

--- a/src/libzinniastep/gateway/crash_suspects.cc
+++ b/src/libzinniastep/gateway/crash_suspects.cc
@@ -37,6 +37,8 @@
 constexpr Threshold kManyRequests{3, 3, 2};
 // Requests that were repeated.
 constexpr Threshold kFewRequests{2, 4, 3};
+// For signatures, which only the repeats of one request share.
+constexpr Threshold kOneRequest{1, 3, 3};
 // For parts that were answered before, and at ends that another part explains.
 constexpr Threshold kLikelySound{4, 4, 3};
 constexpr std::size_t kMaxSuspects = 16;
@@ -74,6 +76,7 @@
   std::size_t moments = 0;
   std::size_t sequence = 0;
   bool is_known = false;
+  bool is_signature = false;
 };
 
 // Counts the moments of the ends and their sequence.
@@ -130,6 +133,18 @@
   return common;
 }
 
+// Whether one of the parts is the signature of the witness's request.
+auto HasSignature(const CrashWitness& witness,
+                  std::span<const PromptPartId> parts) -> bool {
+  for (std::size_t part = 0; part < witness.parts.size(); ++part) {
+    if (witness.is_signature(part) &&
+        std::ranges::find(parts, witness.parts[part]) != parts.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Finds the parts that are convicted, one after the other.
 class Conviction {
  public:
@@ -181,8 +196,10 @@
 
  private:
   static auto Rank(const Support& support)
-      -> std::tuple<bool, std::size_t, std::size_t> {
-    return {!support.is_known, support.endings, support.requests};
+      -> std::tuple<bool, std::size_t, bool, std::size_t> {
+    // A part that explains no more than one request does is not to blame.
+    return {!support.is_known, support.endings, support.is_signature,
+            support.requests};
   }
 
   auto AddWitness(std::size_t index,
@@ -197,6 +214,7 @@
         support.witnesses.push_back(index);
       }
       support.is_known = support.is_known || witness.is_known(part);
+      support.is_signature = support.is_signature || witness.is_signature(part);
     }
   }
 
@@ -230,7 +248,8 @@
     if (support.is_known) {
       return Meets(unexplained, kLikelySound);
     }
-    return Meets(unexplained, kManyRequests) ||
+    return (support.is_signature && Meets(unexplained, kOneRequest)) ||
+           Meets(unexplained, kManyRequests) ||
            Meets(unexplained, kFewRequests) || Meets(support, kLikelySound);
   }
 
@@ -258,6 +277,8 @@
     suspect.endings = support->endings;
     suspect.requests = support->requests;
     for (const std::size_t index : support->witnesses) {
+      suspect.is_one_request = suspect.is_one_request ||
+                               HasSignature(witnesses[index], suspect.parts);
       suspect.last_ended_at =
           std::max(suspect.last_ended_at, witnesses[index].ended_at);
     }
--- a/src/libzinniastep/gateway/crash_suspects.h
+++ b/src/libzinniastep/gateway/crash_suspects.h
@@ -23,6 +23,9 @@
   std::size_t endings = 0;
   // Requests that were unanswered at these ends.
   std::size_t requests = 0;
+  // The parts include a signature, so that only repeats of one request have
+  // all of them.
+  bool is_one_request = false;
   Instant last_ended_at;
 };
 
--- a/src/libzinniastep/gateway/crash_witness.h
+++ b/src/libzinniastep/gateway/crash_witness.h
@@ -24,9 +24,10 @@
   // request was sent to it.
   Instant ended_at;
   Duration took{0};
-  // Shared parts of the prompt.
+  // Shared parts of the prompt, and the request's signature.
   std::vector<PromptPartId> parts;
-  // Parts that had been answered before, at the host that sent the request.
+  // Parts that had been answered before, at the host that sent the request. The
+  // bits from kMaxWitnessParts on say which part is a signature.
   std::uint32_t known = 0;
   // Parts that were answered after the end, at any host, or that an operator
   // cleared.
@@ -35,9 +36,17 @@
   [[nodiscard]] auto is_cleared(std::size_t part) const -> bool {
     return (cleared >> part & 1U) != 0;
   }
+  // Whether all parts were answered since.
+  [[nodiscard]] auto is_all_cleared() const -> bool {
+    const std::uint32_t all = (1U << parts.size()) - 1U;
+    return (cleared & all) == all;
+  }
   [[nodiscard]] auto is_known(std::size_t part) const -> bool {
     return (known >> part & 1U) != 0;
   }
+  [[nodiscard]] auto is_signature(std::size_t part) const -> bool {
+    return (known >> (kMaxWitnessParts + part) & 1U) != 0;
+  }
 };
 
 }  // namespace zinniastep
--- a/src/libzinniastep/gateway/ending_watch.h
+++ b/src/libzinniastep/gateway/ending_watch.h
@@ -20,6 +20,8 @@
   std::vector<PromptPartId> parts;
   Instant sent_at;
   Instant broken_at;
+  // The same in all repeats of the request; zero if it is not known.
+  PromptPartId signature = 0;
 };
 
 // What became of a connection that was only opened.
--- a/src/libzinniastep/gateway/part_quarantine.cc
+++ b/src/libzinniastep/gateway/part_quarantine.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libzinniastep/base/hash.h"
+#include "libzinniastep/gateway/trial_pause.h"
 
 namespace zinniastep {
 
@@ -27,14 +28,6 @@
 constexpr std::size_t kMaxSummaryRows = 24;
 // Witnesses that convict nothing are repeated to peers for this long.
 constexpr Duration kSummaryAge = std::chrono::seconds(20);
-// Ends of servers from which on the evidence is strong.
-constexpr std::size_t kStrongEndings = 5;
-// Pauses before the trials of parts; none follows the last one, since each
-// trial of a part that still crashes servers takes another one down.
-constexpr Duration kWeakTrialPauses[] = {
-    std::chrono::seconds(4), std::chrono::seconds(8), std::chrono::seconds(30)};
-constexpr Duration kStrongTrialPauses[] = {std::chrono::seconds(15),
-                                           std::chrono::minutes(2)};
 // Hosts begin trials in a random order over this time for each host, so that
 // one learns of the other's.
 constexpr double kTrialSpreadSeconds = 0.4;
@@ -47,35 +40,25 @@
 // Parts in the order of what they say about a crash: those that were never
 // answered come first.
 auto WitnessParts(std::span<const PromptPartId> parts,
-                  const AnsweredParts& answered) -> std::vector<PromptPartId> {
+                  const AnsweredParts& answered,
+                  PromptPartId signature) -> std::vector<PromptPartId> {
   std::vector<PromptPartId> chosen;
+  if (signature != 0) {
+    chosen.push_back(signature);
+  }
   for (const PromptPartId part : parts) {
     if (std::ranges::find(chosen, part) == chosen.end()) {
       chosen.push_back(part);
     }
   }
   std::ranges::stable_sort(chosen, {}, [&](PromptPartId part) {
-    return answered.Find(part).value_or(Instant::min());
+    return part == signature ? Instant::min()
+                             : answered.Find(part).value_or(Instant::min());
   });
   chosen.resize(std::min(chosen.size(), kMaxWitnessParts));
   return chosen;
 }
 
-// Whether all of its parts were answered since.
-auto IsCleared(const CrashWitness& witness) -> bool {
-  const std::uint32_t all = (1U << witness.parts.size()) - 1U;
-  return (witness.cleared & all) == all;
-}
-
-auto TrialPause(const HeldParts& held) -> std::optional<Duration> {
-  const std::span<const Duration> pauses =
-      held.endings >= kStrongEndings
-          ? std::span<const Duration>(kStrongTrialPauses)
-          : std::span<const Duration>(kWeakTrialPauses);
-  return held.trials < pauses.size() ? std::optional(pauses[held.trials])
-                                     : std::nullopt;
-}
-
 auto HasAll(std::span<const PromptPartId> parts,
             std::span<const PromptPartId> wanted) -> bool {
   return std::ranges::all_of(wanted, [&](PromptPartId part) {
@@ -101,7 +84,7 @@
 auto PartQuarantine::AddWitness(std::uint64_t server,
                                 const UnansweredSend& send,
                                 Instant ended_at) -> void {
-  if (send.parts.empty()) {
+  if (send.parts.empty() && send.signature == 0) {
     return;
   }
   CrashWitness witness;
@@ -110,11 +93,14 @@
   witness.id = random_.Next();
   witness.ended_at = ended_at;
   witness.took = ended_at - send.sent_at;
-  witness.parts = WitnessParts(send.parts, answered_);
+  witness.parts = WitnessParts(send.parts, answered_, send.signature);
   for (std::size_t part = 0; part < witness.parts.size(); ++part) {
-    if (answered_.Find(witness.parts[part]).has_value()) {
+    if (AnsweredAt(witness.parts[part]).has_value()) {
       witness.known |= 1U << part;
     }
+    if (send.signature != 0 && witness.parts[part] == send.signature) {
+      witness.known |= 1U << (kMaxWitnessParts + part);
+    }
   }
   unsent_witnesses_.insert(witness.id);
   Insert(std::move(witness));
@@ -122,7 +108,7 @@
 
 auto PartQuarantine::OnLeft(const BackendServerId& server,
                             const UnansweredSend& send) -> void {
-  if (send.parts.empty()) {
+  if (send.parts.empty() && send.signature == 0) {
     return;
   }
   left_.push_back({StableHash(server.text()), send});
@@ -145,6 +131,25 @@
 auto PartQuarantine::OnAnswered(Instant now,
                                 std::span<const PromptPartId> parts) -> void {
   answered_.Record(now, parts);
+  ClearWitnesses(now, parts);
+}
+
+auto PartQuarantine::OnRequestAnswered(Instant now, PromptPartId signature)
+    -> void {
+  const std::span<const PromptPartId> parts(&signature, 1);
+  answered_requests_.Record(now, parts);
+  ClearWitnesses(now, parts);
+}
+
+auto PartQuarantine::AnsweredAt(PromptPartId part) const
+    -> std::optional<Instant> {
+  const auto found = answered_.Find(part);
+  return found.has_value() ? found : answered_requests_.Find(part);
+}
+
+auto PartQuarantine::ClearWitnesses(Instant now,
+                                    std::span<const PromptPartId> parts)
+    -> void {
   for (auto& [id, witness] : witnesses_) {
     const std::uint32_t before = witness.cleared;
     for (std::size_t index = 0; index < witness.parts.size(); ++index) {
@@ -162,7 +167,7 @@
 
 auto PartQuarantine::ClearAnswered(CrashWitness& witness) const -> void {
   for (std::size_t part = 0; part < witness.parts.size(); ++part) {
-    const auto answered_at = answered_.Find(witness.parts[part]);
+    const auto answered_at = AnsweredAt(witness.parts[part]);
     if (answered_at.has_value() && *answered_at > witness.ended_at) {
       witness.cleared |= 1U << part;
     }
@@ -186,7 +191,7 @@
 auto PartQuarantine::EvictWitness() -> void {
   const auto rank = [](const auto& item) {
     const CrashWitness& witness = item.second;
-    return std::pair(!IsCleared(witness), witness.ended_at);
+    return std::pair(!witness.is_all_cleared(), witness.ended_at);
   };
   Forget(std::ranges::min_element(witnesses_, {}, rank)->first);
 }
@@ -263,7 +268,7 @@
   std::vector<CrashWitness> witnesses;
   witnesses.reserve(witnesses_.size());
   for (const auto& [id, witness] : witnesses_) {
-    if (IsCleared(witness)) {
+    if (witness.is_all_cleared()) {
       continue;
     }
     witnesses.push_back(witness);
@@ -276,6 +281,7 @@
     parts.parts = suspect.parts;
     parts.endings = suspect.endings;
     parts.requests = suspect.requests;
+    parts.is_one_request = suspect.is_one_request;
     parts.held_since = now;
     parts.last_ended_at = suspect.last_ended_at;
     parts.trials = TrialsOf(suspect.parts).count;
@@ -314,7 +320,8 @@
 }
 
 auto PartQuarantine::ScheduleTrial(HeldParts& held) -> void {
-  const auto pause = TrialPause(held);
+  const auto pause =
+      TrialPause({held.endings, held.trials, held.is_one_request});
   held.next_trial.reset();
   if (!pause.has_value()) {
     return;
@@ -407,7 +414,7 @@
           return wanted.contains(part);
         });
     if (age > kMaxWitnessAge || !is_wanted ||
-        (IsCleared(witness) && age > kClearedLifetime)) {
+        (witness.is_all_cleared() && age > kClearedLifetime)) {
       expired.push_back(id);
     }
   }
--- a/src/libzinniastep/gateway/part_quarantine.h
+++ b/src/libzinniastep/gateway/part_quarantine.h
@@ -28,6 +28,8 @@
   std::vector<PromptPartId> parts;
   std::size_t endings = 0;
   std::size_t requests = 0;
+  // Only repeats of one request have all of the parts.
+  bool is_one_request = false;
   Instant held_since;
   Instant last_ended_at;
   // Requests that this host refused.
@@ -55,7 +57,8 @@
 
 using PartAdmission = std::variant<PartsAdmitted, PartsOnTrial, PartsHeld>;
 
-// Refuses requests with prompt parts that crash servers. All hosts derive the
+// Refuses requests with prompt parts that crash servers. A request's signature
+// counts as one more part, which only its repeats share. All hosts derive the
 // same held parts from the evidence that they exchange. An answer to any
 // request with a held part releases it, and now and then one is sent as a
 // trial. All tables are bounded.
@@ -78,6 +81,9 @@
   // Notes that a server answered a request with the parts.
   auto OnAnswered(Instant now, std::span<const PromptPartId> parts) -> void;
 
+  // Notes that a server answered a request with the signature.
+  auto OnRequestAnswered(Instant now, PromptPartId signature) -> void;
+
   // Merges what a peer reported. It takes effect with the next Update(), so
   // that many reports in a short time cost little.
   auto Merge(Instant now, const CrashReport& report) -> void;
@@ -130,6 +136,11 @@
   // Adds the sends that were left shortly before the server ended.
   auto AddLeft(std::uint64_t server, Instant ended_at) -> void;
   [[nodiscard]] auto Find(std::span<const PromptPartId> parts) -> HeldParts*;
+  // When the part, or the request with the signature, was last answered.
+  [[nodiscard]] auto AnsweredAt(PromptPartId part) const
+      -> std::optional<Instant>;
+  // Marks the parts in the witnesses of earlier ends.
+  auto ClearWitnesses(Instant now, std::span<const PromptPartId> parts) -> void;
   // Marks the parts that were answered after the witness's end.
   auto ClearAnswered(CrashWitness& witness) const -> void;
   auto Insert(CrashWitness witness) -> void;
@@ -146,6 +157,8 @@
 
   Random random_;
   AnsweredParts answered_;
+  // Signatures, which are many and must not displace parts.
+  AnsweredParts answered_requests_;
   std::map<std::uint64_t, CrashWitness> witnesses_;
   // Ids of witnesses that were dropped, in that order and to look them up.
   std::deque<std::uint64_t> forgotten_order_;
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -9,6 +9,7 @@
 #include "libzinniastep/base/hash.h"
 #include "libzinniastep/base/overloaded.h"
 #include "libzinniastep/gateway/model_choice.h"
+#include "libzinniastep/gateway/request_signature.h"
 #include "libzinniastep/traffic/forwarded_request.h"
 #include "libzinniastep/traffic/http_text.h"
 #include "libzinniastep/traffic/traffic_engine.h"
@@ -133,6 +134,9 @@
   }
   prompt_ = ReadPromptShape(Header(engine_.headers().prompt_parts),
                             Header(engine_.headers().token_counts));
+  signature_ = Signature();
+  crash_parts_ = prompt_.shared_parts;
+  crash_parts_.insert(crash_parts_.begin(), signature_);
   session_ = prompt_.session != 0 ? prompt_.session : StableHash(request_id_);
   ChooseService();
   engine_.BudgetFor(service_).OnRequest(began_);
@@ -203,6 +207,20 @@
   }
 }
 
+auto Forwarder::Signature() const -> PromptPartId {
+  const ForwardingHeaders& names = engine_.headers();
+  const std::array<std::string_view, 8> fields = {
+      ToView(request_.method_string()),
+      ToView(request_.target()),
+      account_ == nullptr ? std::string_view() : account_->id.text(),
+      Header(names.model),
+      Header(names.token_counts),
+      Header(names.prompt_parts),
+      Header(names.last_event_id),
+      request_.body()};
+  return RequestSignature(fields);
+}
+
 auto Forwarder::Need() const -> ServerNeed {
   ServerNeed need;
   need.service = service_;
@@ -270,14 +288,14 @@
                    engine_.metrics().Count("part_trials");
                    engine_.Log({"part_trial",
                                 {{"request", request_id_},
-                                 {"parts", ToText(prompt_.shared_parts)}}});
+                                 {"parts", ToText(crash_parts_)}}});
                    return false;
                  },
                  [this](const PartsHeld& held) {
                    EndHeld(held);
                    return true;
                  }},
-      engine_.quarantine().Admit(engine_.Now(), prompt_.shared_parts));
+      engine_.quarantine().Admit(engine_.Now(), crash_parts_));
 }
 
 auto Forwarder::EndHeld(const PartsHeld& held) -> void {
@@ -302,8 +320,7 @@
 auto Forwarder::OnHeldPartsChanged() -> void {
   // A part of the answer shows that the request ended no server.
   if (over_ || !server_.has_value() || answer_begun_ || !body_.empty() ||
-      progress_.is_trial ||
-      !engine_.quarantine().IsHeld(prompt_.shared_parts)) {
+      progress_.is_trial || !engine_.quarantine().IsHeld(crash_parts_)) {
     return;
   }
   const bool may_run_again =
@@ -484,7 +501,7 @@
       std::min(progress_.deadline, began_ + route_->target_latency);
   if (!confidence.has_value() ||
       progress_.servers_used + 1 >= progress_.most_servers ||
-      progress_.is_trial || engine_.quarantine().IsHeld(prompt_.shared_parts) ||
+      progress_.is_trial || engine_.quarantine().IsHeld(crash_parts_) ||
       !LeavesTimeForAnother(now - sent_at_, in_time - now)) {
     return false;
   }
@@ -625,7 +642,7 @@
     ++events_passed_;
     clocks_.OnEvent(last_bytes_);
     if (clocks_.events() == 1) {
-      engine_.OnPartsAnswered(prompt_.shared_parts);
+      engine_.OnPromptAnswered(signature_, prompt_.shared_parts);
     }
     if (event->id.has_value()) {
       last_event_ = event->id;
@@ -685,7 +702,7 @@
 
 auto Forwarder::AnswerWhole() -> void {
   CountEvidence(false);
-  engine_.OnPartsAnswered(prompt_.shared_parts);
+  engine_.OnPromptAnswered(signature_, prompt_.shared_parts);
   FinishAttempt(SendOutcome::kAnswered);
   if (answer_begun_) {
     caller_->Finish();
@@ -719,7 +736,7 @@
   if (outcome == SendOutcome::kServerFailure) {
     server_failed_before_ = true;
     CountEvidence(true);
-    engine_.OnPartsAnswered(prompt_.shared_parts);
+    engine_.OnPromptAnswered(signature_, prompt_.shared_parts);
   }
   const bool reached =
       outcome != SendOutcome::kNotSent && outcome != SendOutcome::kMisdirected;
@@ -750,7 +767,7 @@
         {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
         {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
         {"events", std::to_string(events_passed_)},
-        {"parts", outcome == SendOutcome::kBroken ? ToText(prompt_.shared_parts)
+        {"parts", outcome == SendOutcome::kBroken ? ToText(crash_parts_)
                                                   : std::string()},
         {"next", tries_another ? "another" : "give_up"},
         {"reason", std::string(obstacle.has_value() ? ToString(*obstacle)
@@ -770,7 +787,7 @@
   const auto began =
       static_cast<std::uint64_t>(began_.time_since_epoch().count());
   return UnansweredSend{StableHash(request_id_, began), prompt_.shared_parts,
-                        sent_at_, now};
+                        sent_at_, now, signature_};
 }
 
 auto Forwarder::OnSendLeft(Instant now) -> void {
@@ -1010,7 +1027,7 @@
 auto Forwarder::LeaveServer(Instant now, Overdue overdue) -> bool {
   const ForwardProgress after = AfterLeavingServer(progress_);
   auto obstacle = RetryObstacle(now, after, engine_.MayRepeat(service_));
-  if (engine_.quarantine().IsHeld(prompt_.shared_parts)) {
+  if (engine_.quarantine().IsHeld(crash_parts_)) {
     obstacle = GiveUpReason::kHeldParts;
   }
   const UsableBackend* next =
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -71,6 +71,7 @@
   auto FindPlace() -> unsigned;
   auto SetDeadline() -> void;
   auto ChooseService() -> void;
+  [[nodiscard]] auto Signature() const -> PromptPartId;
   [[nodiscard]] auto Need() const -> ServerNeed;
   // Returns a server that was not tried or, failing that, one that was left
   // before it had answered; null without one.
@@ -153,6 +154,11 @@
   // Names the request in the log.
   std::string request_id_;
   PromptShape prompt_;
+  // The same in all repeats of the request that its caller sends.
+  PromptPartId signature_ = 0;
+  // What may make the request crash servers: its signature and the shared parts
+  // of its prompt.
+  std::vector<PromptPartId> crash_parts_;
   // Its requests stay on one version and one service of a split route.
   std::uint64_t session_ = 0;
   // Whether this host names the model, and which of the route's.
--- a/src/libzinniastep/traffic/traffic_engine.cc
+++ b/src/libzinniastep/traffic/traffic_engine.cc
@@ -212,8 +212,10 @@
   OnHeldParts();
 }
 
-auto TrafficEngine::OnPartsAnswered(std::span<const PromptPartId> parts)
+auto TrafficEngine::OnPromptAnswered(PromptPartId signature,
+                                     std::span<const PromptPartId> parts)
     -> void {
+  quarantine_.OnRequestAnswered(Now(), signature);
   quarantine_.OnAnswered(Now(), parts);
 }
 
--- a/src/libzinniastep/traffic/traffic_engine.h
+++ b/src/libzinniastep/traffic/traffic_engine.h
@@ -122,8 +122,10 @@
   // ended. `unanswered` is empty if a part of the answer had come.
   auto OnSendBroken(const BackendEntry& server,
                     std::optional<UnansweredSend> unanswered) -> void;
-  // Notes that a server answered a request with the prompt parts.
-  auto OnPartsAnswered(std::span<const PromptPartId> parts) -> void;
+  // Notes that a server answered a request with the signature and the prompt
+  // parts.
+  auto OnPromptAnswered(PromptPartId signature,
+                        std::span<const PromptPartId> parts) -> void;
   [[nodiscard]] auto quarantine() -> PartQuarantine& { return quarantine_; }
   // Returns an id for a request whose caller sent none: 16 hexadecimal digits.
   [[nodiscard]] auto DrawRequestId() -> std::string;
--- a/tests/gateway/crash_suspects_test.cc
+++ b/tests/gateway/crash_suspects_test.cc
@@ -54,6 +54,63 @@
   EXPECT_EQ(suspects[0].last_ended_at, At(3000));
 }
 
+// The repeats of one request have new ids and the signature in common.
+TEST(CrashSuspects, ARequestThatIsSentAgainAndAgainIsConvictedByItsSignature) {
+  Witnesses witnesses;
+  for (std::uint64_t send = 1; send <= 3; ++send) {
+    EXPECT_TRUE(witnesses.Suspects().empty());
+    CrashWitness& witness =
+        witnesses.Add(static_cast<std::int64_t>(send) * 1000, (send + 1) / 2,
+                      send, {kBad, kFirst, kSecond});
+    witness.known = 1U << kMaxWitnessParts | 2U;
+    witness.cleared = 4U;
+  }
+  const auto suspects = witnesses.Suspects();
+  ASSERT_EQ(suspects.size(), 1U);
+  EXPECT_EQ(suspects[0].parts, (std::vector{kFirst, kBad}));
+  EXPECT_TRUE(suspects[0].is_one_request);
+}
+
+TEST(CrashSuspects, RequestsBesideOneThatCrashesServersAreNotConvicted) {
+  Witnesses witnesses;
+  for (std::uint64_t end = 1; end <= 5; ++end) {
+    const auto ended_ms = static_cast<std::int64_t>(end) * 1000;
+    witnesses.Add(ended_ms, end, end, {kBad, kFirst}).known =
+        1U << kMaxWitnessParts;
+    witnesses.Add(ended_ms, 50 + end / 2, end, {100 + end / 2, kFirst}).known =
+        1U << kMaxWitnessParts;
+  }
+  const auto suspects = witnesses.Suspects();
+  ASSERT_EQ(suspects.size(), 1U);
+  EXPECT_EQ(suspects[0].parts, (std::vector{kFirst, kBad}));
+}
+
+TEST(CrashSuspects, ARequestAtServersThatEndTogetherIsNotConvicted) {
+  Witnesses witnesses;
+  for (std::uint64_t send = 1; send <= 3; ++send) {
+    witnesses.Add(1000 + static_cast<std::int64_t>(send), 1, send, {kBad})
+        .known = 1U << kMaxWitnessParts;
+  }
+  EXPECT_TRUE(witnesses.Suspects().empty());
+}
+
+TEST(CrashSuspects, ARequestBesideAPartThatCrashesServersIsNotConvicted) {
+  Witnesses witnesses;
+  for (std::uint64_t end = 1; end <= 5; ++end) {
+    const auto ended_ms = static_cast<std::int64_t>(end) * 1000;
+    witnesses.Add(ended_ms, end, end, {100 + end, kBad}).known =
+        1U << kMaxWitnessParts;
+    if (end <= 3) {
+      witnesses.Add(ended_ms, 77, end, {200, kSecond}).known =
+          1U << kMaxWitnessParts;
+    }
+  }
+  const auto suspects = witnesses.Suspects();
+  ASSERT_EQ(suspects.size(), 1U);
+  EXPECT_EQ(suspects[0].parts, std::vector{kBad});
+  EXPECT_FALSE(suspects[0].is_one_request);
+}
+
 TEST(CrashSuspects, PartsThatCameOnlyTogetherAreHeldOnlyTogether) {
   Witnesses witnesses;
   witnesses.Add(1000, 1, 1, {kSecond, kBad});
--- a/tests/gateway/part_quarantine_test.cc
+++ b/tests/gateway/part_quarantine_test.cc
@@ -64,6 +64,56 @@
   EXPECT_TRUE(IsRefused(quarantine, At(3300), {9, 7}));
 }
 
+// Reports that a server ended under a repeat of one request.
+auto EndOneRequest(PartQuarantine& quarantine, std::uint64_t number) -> void {
+  const Instant now = At(static_cast<std::int64_t>(number) * 1000);
+  const std::vector<UnansweredSend> sends = {
+      {number, {1, 2}, now - milliseconds(200), now, 70}};
+  quarantine.OnEnding(now, BackendServerId("s" + std::to_string(number)),
+                      sends);
+}
+
+TEST(PartQuarantine, RepeatsOfARequestThatEndedThreeServersAreRefused) {
+  PartQuarantine quarantine(1);
+  for (std::uint64_t end = 1; end <= 3; ++end) {
+    quarantine.OnAnswered(At(static_cast<std::int64_t>(end) * 1000 + 100),
+                          std::vector<PromptPartId>{1, 2});
+    EXPECT_FALSE(IsRefused(quarantine, At(3000), {70, 1, 2}));
+    EndOneRequest(quarantine, end);
+  }
+  EXPECT_TRUE(IsRefused(quarantine, At(3100), {70, 1, 2}));
+  EXPECT_FALSE(IsRefused(quarantine, At(3100), {71, 1, 2}));
+  EXPECT_FALSE(IsRefused(quarantine, At(3100), {1, 2}));
+  // A trial costs a server and helps nobody else.
+  quarantine.Update(At(32'000));
+  EXPECT_TRUE(IsRefused(quarantine, At(32'000), {70, 1, 2}));
+  EXPECT_FALSE(IsRefused(quarantine, At(34'000), {70, 1, 2}));
+}
+
+TEST(PartQuarantine, AHostThatHearsOfTheEndsRefusesTheRequestToo) {
+  PartQuarantine here(1);
+  PartQuarantine there(2);
+  EndOneRequest(here, 1);
+  EndOneRequest(there, 2);
+  EndOneRequest(there, 3);
+  const auto news = there.TakeNews(At(3100));
+  ASSERT_TRUE(news.has_value());
+  here.Merge(At(3100), *news);
+  here.Update(At(3100));
+  EXPECT_TRUE(IsRefused(here, At(3200), {70, 1, 2}));
+}
+
+TEST(PartQuarantine, AnAnswerToOneOfItsRepeatsReleasesARequest) {
+  PartQuarantine quarantine(1);
+  for (std::uint64_t end = 1; end <= 3; ++end) {
+    EndOneRequest(quarantine, end);
+  }
+  quarantine.OnRequestAnswered(At(3100), 70);
+  quarantine.OnAnswered(At(3100), std::vector<PromptPartId>{1, 2});
+  quarantine.Update(At(3100));
+  EXPECT_FALSE(IsRefused(quarantine, At(3200), {70, 1, 2}));
+}
+
 TEST(PartQuarantine, AnAnsweredTrialReleasesTheParts) {
   PartQuarantine quarantine(1);
   HoldParts(quarantine);
--- a/tests/traffic/crashing_part_test.cc
+++ b/tests/traffic/crashing_part_test.cc
@@ -32,6 +32,11 @@
               return answer;
             }
             answer.bytes = StreamHead();
+            if (request.ends_with("deadly")) {
+              answer.end_after = kRunTime;
+              answer.end_for = kDownTime;
+              return answer;
+            }
             if (HeaderOf(request, "Zinniastep-Prompt-Prefix").find("bad:") !=
                 std::string::npos) {
               answer.end_after = kRunTime;
@@ -111,5 +116,27 @@
   EXPECT_EQ(waiting.get().status, 502);
 }
 
+// A request whose caller sends it again under new ids, while all parts of its
+// prompt are answered in other requests.
+TEST_F(CrashingPartTest, ARequestThatEndsServersIsNotSentAgainAndAgain) {
+  for (const std::string path : {"/stall/", "/once/"}) {
+    const int before = Endings();
+    const std::string parts = "Zinniastep-Prompt-Prefix: aa:50,bb:20,e" +
+                              path.substr(1, 1) + ":9\r\n";
+    for (int round = 0; round < 8; ++round) {
+      std::string request = EngineHost::Request(path, parts, "deadly");
+      request.replace(request.find("a1\r\n"), 2, "r" + std::to_string(round));
+      (void)host_->Call(request);
+      EXPECT_EQ(Call("aa:50,bb:20").status, 200);
+    }
+    EXPECT_EQ(Endings() - before, 3) << path;
+    const CallerAnswer refused =
+        host_->Call(EngineHost::Request(path, parts, "deadly"));
+    EXPECT_EQ(refused.status, 503) << path;
+    EXPECT_NE(HeaderOf(refused.head, "Retry-After"), "") << path;
+    EXPECT_EQ(host_->Call(EngineHost::Request("/once/", parts)).status, 200);
+  }
+}
+
 }  // namespace
 }  // namespace zinniastep::testing
