Wait for the peers' announcements instead of sleeping

ALengthWithoutAMessageReservesNothing slept for a second and hoped that all announced lengths had been read by then; beside load it could have passed without any of them. Each connection sends a whole message before its announcement now, and one more connection follows, so that the test goes on when the receiver has them all. The bound is the same.

--- a/tests/concurrent/peer_transport_test.cc
+++ b/tests/concurrent/peer_transport_test.cc
@@ -4,14 +4,12 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <fstream>
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -116,7 +114,10 @@
 }
 
 TEST(PeerTransportTest, ALengthWithoutAMessageReservesNothing) {
-  auto receiver = PeerTransport::Listen("127.0.0.1:0", [](std::string_view) {});
+  constexpr std::size_t kPeers = 64;
+  Collector collector;
+  auto receiver = PeerTransport::Listen(
+      "127.0.0.1:0", [&](std::string_view bytes) { collector.Add(bytes); });
   ASSERT_TRUE(receiver.ok());
   const std::string address = (*receiver)->address();
   const auto port = static_cast<std::uint16_t>(
@@ -125,14 +126,21 @@
   const std::size_t before = ResidentBytes();
   using boost::asio::ip::tcp;
   std::vector<tcp::socket> peers;
-  for (int peer = 0; peer < 64; ++peer) {
+  // Lengths are in little-endian order.
+  const std::string whole("\x01\x00\x00\x00w", 5);
+  const std::string begun("\x00\x00\x20\x00z", 5);
+  const auto send = [&](const std::string& bytes) {
     peers.emplace_back(io);
     peers.back().connect({boost::asio::ip::make_address("127.0.0.1"), port});
-    // 2 MiB, in little-endian order, and a first byte.
-    const std::string begun("\x00\x00\x20\x00z", 5);
-    boost::asio::write(peers.back(), boost::asio::buffer(begun));
+    boost::asio::write(peers.back(), boost::asio::buffer(bytes));
+  };
+  for (std::size_t peer = 0; peer < kPeers; ++peer) {
+    send(whole + begun);
   }
-  std::this_thread::sleep_for(std::chrono::seconds(1));
+  // What follows each whole message is read before the next connection's.
+  collector.WaitFor(kPeers);
+  send(whole);
+  collector.WaitFor(kPeers + 1);
   EXPECT_LT(ResidentBytes(), before + (std::size_t{32} << 20U));
 }
 
