--- a/tests/traffic/held_bytes_test.cc
+++ b/tests/traffic/held_bytes_test.cc
@@ -47,7 +47,7 @@
   EXPECT_EQ(held->ended(), 2U);
 }
 
-struct Hoard {
+struct UnfinishedExchange {
   const char* name;
   // What the server sends of an answer that does not end.
   std::string part;
@@ -58,19 +58,19 @@
 TEST(HeldBytes, ManyRequestsThatHoldMuchDoNotExhaustTheHost) {
   const std::string stuff(kPartSize, 'z');
   const std::string length = "Content-Length: 1000000\r\n\r\n";
-  const std::vector<Hoard> hoards = {
+  const std::vector<UnfinishedExchange> exchanges = {
       {"failure's body",
        "HTTP/1.1 500 Oh\r\nZinniastep-Attempt-Id: a1\r\n" + length + stuff},
       {"plain answer",
        "HTTP/1.1 200 OK\r\nZinniastep-Attempt-Id: a1\r\n" + length + stuff},
       {"event", StreamHead() + Chunk("data: " + stuff.substr(0, 250'000))},
       {"request", "", kPartSize}};
-  for (const Hoard& hoard : hoards) {
-    const ScriptedServer server([&hoard](const std::string& request) {
+  for (const UnfinishedExchange& exchange : exchanges) {
+    const ScriptedServer server([&exchange](const std::string& request) {
       if (HeaderOf(request, "X-Sound") == "1") {
         return ScriptedAnswer{Answer("200 OK", "", "hi")};
       }
-      ScriptedAnswer answer{hoard.part};
+      ScriptedAnswer answer{exchange.part};
       answer.hang = true;
       return answer;
     });
@@ -80,17 +80,17 @@
       callers.push_back(std::make_unique<RawCaller>(
           "127.0.0.1:" + std::to_string(host.port())));
       callers.back()->Send(EngineHost::Request(
-          "/gen/", "", std::string(hoard.request_bytes, 'b')));
+          "/gen/", "", std::string(exchange.request_bytes, 'b')));
     }
     EXPECT_TRUE(Eventually([&host] { return host.HeldPeak() > kLimit / 2; }))
-        << hoard.name;
+        << exchange.name;
     for (int call = 0; call < 5; ++call) {
       EXPECT_EQ(
           host.Call(EngineHost::Request("/once/", "X-Sound: 1\r\n")).status,
           200)
-          << hoard.name;
+          << exchange.name;
     }
-    EXPECT_LE(host.HeldPeak(), kLimit + kMargin) << hoard.name;
+    EXPECT_LE(host.HeldPeak(), kLimit + kMargin) << exchange.name;
   }
 }
 
--- a/tests/traffic/leaving_server_test.cc
+++ b/tests/traffic/leaving_server_test.cc
@@ -133,7 +133,7 @@
   EXPECT_EQ(host.Counted("servers_leaving"), 0U);
 }
 
-TEST(LeavingServer, CallersGetTheAnswerAsItIsAndOneUnderWayEndsInPeace) {
+TEST(LeavingServer, CallersGetTheAnswerAsItIsAndOneUnderWayIsCompleted) {
   const ScriptedServer server([](const std::string& request) {
     if (request.find("/stall/") != std::string::npos) {
       ScriptedAnswer slow{StreamHead() + Chunk(Event(1))};
