--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -204,13 +204,15 @@
   Fleet(const CaseArguments& arguments,
         const std::string& network,
         const std::string& store,
-        int count) {
+        int count,
+        int most_descriptors = 4100) {
     const std::string seeds = "\"" + network + "1:8229\"";
     for (int number = 1; number <= count; ++number) {
       gateways_.push_back(std::make_unique<Gateway>(
           arguments.gateway, arguments.folder,
           "front-" + std::to_string(number), network + std::to_string(number),
-          number % 2 == 1 ? "perth-north" : "perth-south", store, seeds));
+          number % 2 == 1 ? "perth-north" : "perth-south", store, seeds,
+          most_descriptors));
     }
   }
 
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -571,7 +571,7 @@
           std::string zone,
           const std::string& store,
           const std::string& seeds,
-          const std::string& more = {})
+          int most_descriptors = 4100)
       : program_(std::move(program)),
         settings_(folder + "/" + name + ".json"),
         log_(folder + "/" + name + ".log"),
@@ -589,7 +589,7 @@
         << R"(","signing_keys":["zinniastep-gateway-fleet"],"shutdown_s":8,)"
         << R"("leaving_ms":2500,"address_lifetime_s":5,"repeat_share":0.9,)"
         << R"("repeat_slack":56,"repeat_window_s":10,"memory_mb":260,)"
-        << more << R"("most_descriptors":4100})";
+        << R"("most_descriptors":)" << most_descriptors << "}";
   }
   Gateway(const Gateway&) = delete;
   auto operator=(const Gateway&) -> Gateway& = delete;
