Show that a region whose second gateway restarts sends callers elsewhere

The directory names a region's hosts only if two of them are live, and those of all regions otherwise, so that a planned restart sends requests to a region that their route excludes.

--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -205,14 +205,25 @@
         const std::string& network,
         const std::string& store,
         int count,
-        int most_descriptors = 4100) {
+        int most_descriptors = 4100)
+      : Fleet(arguments, network, store,
+              std::vector<std::string>{"perth-north", "perth-south"}, count,
+              most_descriptors) {}
+
+  // The zones are used in turn.
+  Fleet(const CaseArguments& arguments,
+        const std::string& network,
+        const std::string& store,
+        const std::vector<std::string>& zones,
+        int count,
+        int most_descriptors) {
     const std::string seeds = "\"" + network + "1:8229\"";
     for (int number = 1; number <= count; ++number) {
       gateways_.push_back(std::make_unique<Gateway>(
           arguments.gateway, arguments.folder,
           "front-" + std::to_string(number), network + std::to_string(number),
-          number % 2 == 1 ? "perth-north" : "perth-south", store, seeds,
-          most_descriptors));
+          zones[static_cast<std::size_t>(number - 1) % zones.size()], store,
+          seeds, most_descriptors));
     }
   }
 
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -579,8 +579,9 @@
         ip_(std::move(ip)) {
     std::ofstream(settings_)
         << R"({"host":")" << name_ << R"(","failure_domain":")" << zone
-        << R"(","region":"perth","regions":{"perth-north":"perth",)"
-        << R"("perth-south":"perth"},"caller_address":")" << ip_
+        << R"(","region":")" << (zone == "bunbury-a" ? "bunbury" : "perth")
+        << R"(","regions":{"perth-north":"perth","perth-south":"perth",)"
+        << R"("bunbury-a":"bunbury"},"caller_address":")" << ip_
         << R"(:8227","ready_address":")" << ip_
         << R"(:8220","directory_address":")" << ip_
         << R"(:8224","metrics_address":")" << ip_
