Show that a host that restarts during a drill keeps the older configuration

A host that reads the store before it meets a peer takes the copy's state as it is, and since its state then equals the peers', it never asks for what they keep against the copy: a withdrawn key and the former service of a route are in use until the operator writes again.

--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -14,8 +14,11 @@
   using Behave =
       std::function<bool(Server&, const Message& request, Socket& socket)>;
 
-  Server(std::string id, std::string service, const std::string& ip,
-         Record& record, Behave behave = {})
+  Server(std::string id,
+         std::string service,
+         const std::string& ip,
+         Record& record,
+         Behave behave = {})
       : id_(std::move(id)),
         service_(std::move(service)),
         record_(record),
@@ -89,8 +92,9 @@
         continue;
       }
       Run(request);
-      if (!socket.Write(Head(request) + WithLength("whole answer of " + id_ +
-                                                   " to " + request.Target()))) {
+      if (!socket.Write(Head(request) +
+                        WithLength("whole answer of " + id_ + " to " +
+                                   request.Target()))) {
         return;
       }
     }
@@ -125,8 +129,8 @@
                        const std::string& routes,
                        const std::string& services,
                        const std::string& tenants) -> std::string {
-  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" + routes +
-         R"(],"Services":[)" + services +
+  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
+         routes + R"(],"Services":[)" + services +
          R"(],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,)"
          R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":)" +
          tenants + "}";
@@ -149,8 +153,8 @@
   record.Line("caller attempt=%s got \"%s\" signature=\"%s\" body=%zu %s%s",
               attempt.c_str(), answer.first_line.c_str(),
               answer.Header("Zinniastep-Server-Signature").c_str(),
-              answer.body.size(), answer.is_whole ? "whole" : "not whole: ",
-              answer.why.c_str());
+              answer.body.size(),
+              answer.is_whole ? "whole" : "not whole: ", answer.why.c_str());
   return answer;
 }
 
@@ -161,10 +165,10 @@
                         int time_ms,
                         const std::string& more = {},
                         const std::string& body = {}) -> std::string {
-  std::string text = method + " " + target +
-                     " HTTP/1.1\r\nHost: x.example\r\nZinniastep-Attempt-Id: " +
-                     attempt + "\r\nZinniastep-Time-Remaining-Ms: " +
-                     std::to_string(time_ms) + "\r\n";
+  std::string text =
+      method + " " + target +
+      " HTTP/1.1\r\nHost: x.example\r\nZinniastep-Attempt-Id: " + attempt +
+      "\r\nZinniastep-Time-Remaining-Ms: " + std::to_string(time_ms) + "\r\n";
   if (!key.empty()) {
     text += "Authorization: Token " + key + "\r\n";
   }
@@ -206,8 +210,11 @@
         const std::string& store,
         int count,
         int most_descriptors = 4100)
-      : Fleet(arguments, network, store,
-              std::vector<std::string>{"perth-north", "perth-south"}, count,
+      : Fleet(arguments,
+              network,
+              store,
+              std::vector<std::string>{"perth-north", "perth-south"},
+              count,
               most_descriptors) {}
 
   // The zones are used in turn.
@@ -216,8 +223,11 @@
         const std::string& store,
         const std::vector<std::string>& zones,
         int count,
-        int most_descriptors) {
-    const std::string seeds = "\"" + network + "1:8229\"";
+        int most_descriptors,
+        std::string seeds = {}) {
+    if (seeds.empty()) {
+      seeds = "\"" + network + "1:8229\"";
+    }
     for (int number = 1; number <= count; ++number) {
       gateways_.push_back(std::make_unique<Gateway>(
           arguments.gateway, arguments.folder,
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -266,8 +266,8 @@
           return;
         }
       }
-      const auto size = static_cast<std::size_t>(
-          std::strtoull(buffer_.c_str(), nullptr, 16));
+      const auto size =
+          static_cast<std::size_t>(std::strtoull(buffer_.c_str(), nullptr, 16));
       while (buffer_.size() < line + 2 + size + 2) {
         if (!More(end, message)) {
           return;
@@ -359,7 +359,8 @@
 };
 
 // The platform's store, as far as gateways use it: lists, watches, creation,
-// and the status of roll-outs. It loses nothing that it has acknowledged.
+// and the status of roll-outs. It loses nothing that it has acknowledged, but
+// in a drill.
 class Store {
  public:
   Store(std::string ip, Record& record)
@@ -393,6 +394,32 @@
     }
   }
 
+  // Takes the copy from which the store comes back in a drill.
+  auto TakeCopy() -> void {
+    const std::lock_guard lock(mutex_);
+    copy_ = {revision_, objects_, events_};
+  }
+
+  // A drill: the store is away, and comes back from the copy in the next era.
+  auto RestoreCopy(int away_ms) -> void {
+    {
+      const std::lock_guard lock(mutex_);
+      is_away_ = true;
+      changed_.notify_all();
+      record_.Line("store: away");
+    }
+    SleepMs(away_ms);
+    const std::lock_guard lock(mutex_);
+    revision_ = copy_.revision;
+    objects_ = copy_.objects;
+    events_ = copy_.events;
+    ++era_;
+    is_away_ = false;
+    changed_.notify_all();
+    record_.Line("store: back from the copy, era %d, revision %ld", era_,
+                 revision_);
+  }
+
   [[nodiscard]] auto address() const -> std::string {
     return listener_.address();
   }
@@ -409,6 +436,12 @@
     long revision = 0;
     std::string text;
   };
+  using Objects = std::map<std::string, std::map<std::string, Object>>;
+  struct Copy {
+    long revision = 0;
+    Objects objects;
+    std::vector<Event> events;
+  };
 
   static auto Text(const std::string& name, const Object& object)
       -> std::string {
@@ -446,16 +479,30 @@
       if (!request.is_whole) {
         return;
       }
+      const std::optional<int> era = EraUnlessAway();
+      if (!era.has_value()) {
+        socket.Reset();
+        return;
+      }
       const auto [status, body] = Answer(request);
+      if (EraUnlessAway() != era) {
+        socket.Reset();
+        return;
+      }
       if (!socket.Write("HTTP/1.1 " + status +
-                        "\r\nContent-Type: application/json\r\n"
-                        "Content-Length: " +
+                        "\r\nContent-Type: application/json\r\nStore-Era: " +
+                        std::to_string(*era) + "\r\nContent-Length: " +
                         std::to_string(body.size()) + "\r\n\r\n" + body)) {
         return;
       }
     }
   }
 
+  auto EraUnlessAway() -> std::optional<int> {
+    const std::lock_guard lock(mutex_);
+    return is_away_ ? std::nullopt : std::optional(era_);
+  }
+
   auto Answer(const Message& request) -> std::pair<std::string, std::string> {
     const std::string target = request.Target();
     std::string path = target.substr(0, target.find('?'));
@@ -468,10 +515,15 @@
     std::unique_lock lock(mutex_);
     if (request.Method() == "GET") {
       const std::string watch = Query(target, "Watch");
-      return {"200 OK", watch.empty()
-                            ? List(kind)
-                            : Watch(lock, kind, std::atol(watch.c_str()),
-                                    std::atoi(Query(target, "WaitMs").c_str()))};
+      const long after = std::atol(watch.c_str());
+      if (after > revision_) {
+        return {"410 Gone", "{}"};
+      }
+      return {"200 OK",
+              watch.empty()
+                  ? List(kind)
+                  : Watch(lock, kind, after,
+                          std::atoi(Query(target, "WaitMs").c_str()))};
     }
     if (request.Method() == "POST") {
       const std::string name = Member(request.body, "Name");
@@ -481,11 +533,11 @@
       Object& object = objects_[kind][name];
       object.revision = object.created = ++revision_;
       const auto spec = request.body.find("\"Spec\":");
-      object.spec = spec == std::string::npos
-                        ? "{}"
-                        : request.body.substr(
-                              spec + 7,
-                              request.body.find('}', spec) - spec - 6);
+      object.spec =
+          spec == std::string::npos
+              ? "{}"
+              : request.body.substr(spec + 7,
+                                    request.body.find('}', spec) - spec - 6);
       Tell(kind, name, object, false);
       return {"200 OK", Text(name, object)};
     }
@@ -547,7 +599,8 @@
       }
       return !events.empty();
     };
-    changed_.wait_for(lock, milliseconds(wait_ms), find);
+    changed_.wait_for(lock, milliseconds(wait_ms),
+                      [&] { return is_away_ || find(); });
     return R"({"events":[)" + events + R"(],"At":)" +
            std::to_string(revision_) + "}";
   }
@@ -556,8 +609,11 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   long revision_ = 100;
-  std::map<std::string, std::map<std::string, Object>> objects_;
+  Objects objects_;
   std::vector<Event> events_;
+  Copy copy_;
+  bool is_away_ = false;
+  int era_ = 3;
   Listener listener_;
 };
 
@@ -585,8 +641,8 @@
         << R"(:8227","ready_address":")" << ip_
         << R"(:8220","directory_address":")" << ip_
         << R"(:8224","metrics_address":")" << ip_
-        << R"(:7355","peer_address":")" << ip_ << R"(:7340","seeds":[)"
-        << seeds << R"(],"store_address":")" << store
+        << R"(:7355","peer_address":")" << ip_ << R"(:7340","seeds":[)" << seeds
+        << R"(],"store_address":")" << store
         << R"(","signing_keys":["zinniastep-gateway-fleet"],"shutdown_s":8,)"
         << R"("leaving_ms":2500,"address_lifetime_s":5,"repeat_share":0.9,)"
         << R"("repeat_slack":56,"repeat_window_s":10,"memory_mb":260,)"
@@ -601,8 +657,7 @@
     if (pid_ == 0) {
       // The gateway ends with the case, however that ends.
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int out =
-          ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(out, 1);
       ::dup2(out, 2);
       const std::string argument = "--settings=" + settings_;
@@ -673,8 +728,8 @@
 inline auto FreeNetwork() -> std::string {
   for (int i = 0; i < 200; ++i) {
     const int number = static_cast<int>(::getpid()) + 37 * i;
-    const std::string network = "127." + std::to_string(64 + number % 64) + "." +
-                                std::to_string(number / 64 % 250) + ".";
+    const std::string network = "127." + std::to_string(64 + number % 64) +
+                                "." + std::to_string(number / 64 % 250) + ".";
     bool is_free = true;
     for (const int port : {8220, 8224, 8227, 7340, 7355}) {
       const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -682,9 +737,8 @@
       address.sin_family = AF_INET;
       address.sin_port = htons(static_cast<std::uint16_t>(port));
       ::inet_pton(AF_INET, (network + "1").c_str(), &address.sin_addr);
-      is_free = is_free &&
-                ::bind(fd, reinterpret_cast<sockaddr*>(&address),
-                       sizeof address) == 0;
+      is_free = is_free && ::bind(fd, reinterpret_cast<sockaddr*>(&address),
+                                  sizeof address) == 0;
       ::close(fd);
     }
     if (is_free) {
--- a/review/standins-2/last_tenant.cc
+++ b/review/standins-2/last_tenant.cc
@@ -1,5 +1,5 @@
-// Case 6: the operator takes the last tenant, and with it the last key, out of
-// the configuration.
+// The operator takes the last tenant, and with it the last key, out of the
+// configuration.
 
 #include "deployment.h"
 
@@ -71,8 +71,7 @@
   for (std::size_t i = 0; i < fleet.size(); ++i) {
     for (int request = 0; request < kRequests; ++request) {
       if (arguments.has_trouble) {
-        dropped_ran +=
-            send(fleet[i], "the dropped key", "key-of-hens").second;
+        dropped_ran += send(fleet[i], "the dropped key", "key-of-hens").second;
       } else {
         send(fleet[i], "the tenant's key", "key-of-hens");
       }
@@ -80,12 +79,14 @@
       foreign_ran += send(fleet[i], "no key", "").second;
     }
   }
-  record.Line("CONFIG: runs with the dropped key, sent later than ConfigApplyMs "
-              "after the acknowledgement: %d",
-              dropped_ran);
-  record.Line("ROUTE: runs with a key that no configuration ever held, or with "
-              "none: %d",
-              foreign_ran);
+  record.Line(
+      "CONFIG: runs with the dropped key, sent later than ConfigApplyMs "
+      "after the acknowledgement: %d",
+      dropped_ran);
+  record.Line(
+      "ROUTE: runs with a key that no configuration ever held, or with "
+      "none: %d",
+      foreign_ran);
   fleet.End(record, dropped_ran + foreign_ran > 0 ? kBroken : kHeld);
 }
 
--- a/review/standins-2/unread_answers.cc
+++ b/review/standins-2/unread_answers.cc
@@ -1,5 +1,5 @@
-// Case 8: a crowd sends many requests ahead on each connection and reads no
-// answer. Ordinary callers go on to ask.
+// A crowd sends many requests ahead on each connection and reads no answer.
+// Ordinary callers go on to ask.
 
 #include "deployment.h"
 
@@ -64,10 +64,9 @@
     const std::string attempt =
         "c" + std::to_string(caller) + "-" + std::to_string(request);
     ++tried;
-    const Message answer =
-        Ask(record, ip,
-            RequestText("GET", "/look/1", attempt, "key-of-hens", 2000),
-            attempt, 1500);
+    const Message answer = Ask(
+        record, ip, RequestText("GET", "/look/1", attempt, "key-of-hens", 2000),
+        attempt, 1500);
     served += answer.is_whole && answer.Status() == 200 ? 1 : 0;
   };
   ask(0, 0);
@@ -77,7 +76,8 @@
 
   std::string requests;
   for (int i = 0; i < 4000; ++i) {
-    requests += "GET /none/" + std::to_string(i) + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    requests +=
+        "GET /none/" + std::to_string(i) + " HTTP/1.1\r\nHost: x\r\n\r\n";
   }
   std::vector<Sender> crowd;
   std::atomic<bool> stop = false;
@@ -138,10 +138,11 @@
   }
   const bool is_ready = fleet[0].WaitUntilReady(1000);
   const int now_served = served - served_before;
-  record.Line("%d ordinary callers: %d of %d requests served in %d ms; the "
-              "gateway says %s",
-              kCallers, now_served, tried - tried_before, kAskMs,
-              is_ready ? "ready" : "not ready");
+  record.Line(
+      "%d ordinary callers: %d of %d requests served in %d ms; the "
+      "gateway says %s",
+      kCallers, now_served, tried - tried_before, kAskMs,
+      is_ready ? "ready" : "not ready");
   stop = true;
   sending.join();
   fleet.End(record, is_ready && now_served == 0 ? kBroken : kHeld);
--- a/review/standins-2/unsigned_answer.cc
+++ b/review/standins-2/unsigned_answer.cc
@@ -1,5 +1,5 @@
-// Case 7: a server in trouble spoils the head of a few of its answers, so that
-// they do not bear its signature.
+// A server in trouble spoils the head of a few of its answers, so that they do
+// not bear its signature.
 
 #include "deployment.h"
 
@@ -40,17 +40,16 @@
   store.Put("servers", "i-one", one.Spec("ready", "perth-north"));
   store.Put("servers", "i-two", two.Spec("ready", "perth-south"));
   store.Put("servers", "i-three", three.Spec("ready", "perth-south"));
-  store.Put(
-      "config", "main",
-      ConfigText(3,
-                 RouteText("book", "non_idempotent", "coop-desk", 2000, 1) +
-                     "," +
-                     RouteText("look", "idempotent", "coop-desk", 2000, 2),
-                 R"({"Name":"coop-desk","HealthPath":"/health","MaxConns":110,)"
-                 R"("Protocol":"h1","Tls":false,"ColdStartS":0.0,)"
-                 R"("ColdPerS":0.0})",
-                 R"([{"Name":"hens","ApiKeys":["key-of-hens"],"Priority":1,)"
-                 R"("AllowedRegions":[]}])"));
+  store.Put("config", "main",
+            ConfigText(
+                3,
+                RouteText("book", "non_idempotent", "coop-desk", 2000, 1) +
+                    "," + RouteText("look", "idempotent", "coop-desk", 2000, 2),
+                R"({"Name":"coop-desk","HealthPath":"/health","MaxConns":110,)"
+                R"("Protocol":"h1","Tls":false,"ColdStartS":0.0,)"
+                R"("ColdPerS":0.0})",
+                R"([{"Name":"hens","ApiKeys":["key-of-hens"],"Priority":1,)"
+                R"("AllowedRegions":[]}])"));
   Fleet fleet(arguments, network, store.address(), 2);
   if (!fleet.Start()) {
     fleet.End(record, kCouldNotRun);
@@ -65,12 +64,12 @@
         const std::string attempt =
             "c" + std::to_string(caller) + "-" + std::to_string(request);
         const bool reads = request % 2 == 0;
-        const Message answer = Ask(
-            record, fleet[static_cast<std::size_t>(caller) % 2].ip(),
-            RequestText(reads ? "GET" : "POST", reads ? "/look/1" : "/book/1",
-                        attempt, "key-of-hens", 2000, "",
-                        reads ? "" : "one coop"),
-            attempt, 3000);
+        const Message answer =
+            Ask(record, fleet[static_cast<std::size_t>(caller) % 2].ip(),
+                RequestText(reads ? "GET" : "POST",
+                            reads ? "/look/1" : "/book/1", attempt,
+                            "key-of-hens", 2000, "", reads ? "" : "one coop"),
+                attempt, 3000);
         const bool is_success =
             answer.is_whole && answer.Status() >= 200 && answer.Status() < 300;
         successes += is_success ? 1 : 0;
@@ -87,10 +86,11 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
-  record.Line("%d successes, %d answers spoiled of %d of the faulty server, %d "
-              "successes without a signature",
-              successes.load(), spoiled.load(), answered.load(),
-              unsigned_successes.load());
+  record.Line(
+      "%d successes, %d answers spoiled of %d of the faulty server, %d "
+      "successes without a signature",
+      successes.load(), spoiled.load(), answered.load(),
+      unsigned_successes.load());
   if (successes == 0 || (arguments.has_trouble && spoiled == 0)) {
     fleet.End(record, kCouldNotRun);
   }
