Require keys when the configuration's list of accounts is empty

What callers saw: once the operators had taken the last account out of the configuration, requests with its withdrawn key, with a key that no configuration ever held, and without a key were sent on and run by the servers on every host, non-idempotent ones included.

Cause: the policy kept the accounts as a plain list, and a missing list was read as an empty one. has_accounts() asked whether there were any, so "no key is needed" and "no key is valid" were the same value, and the first was chosen.

Before the new version a key of nobody got 401, after it 200, so the version was in force; each request had a connection of its own, so no kept connection went on; requests without a key ran as well and none carried an account to its server, so no key was taken for another.

Change: CallerAccess decides from the key who a caller is, without a network. Its rule is OpenAccess or AccountAccess, so that an empty list of accounts is not a missing one, and the reader of the configuration chooses by whether the list is there. That accounts which cannot be read open nothing follows from the same choice and needs no case of its own. Forwarder::FindPlace keeps the status only. The tests that asked has_accounts() ask access().requires_key().

--- a/src/libzinniastep/gateway/traffic_policy.cc
+++ b/src/libzinniastep/gateway/traffic_policy.cc
@@ -9,19 +9,15 @@
 TrafficPolicy::TrafficPolicy(std::uint64_t version,
                              std::vector<ForwardingRoute> routes,
                              std::vector<ForwardingService> services,
-                             std::vector<ForwardingAccount> accounts,
+                             CallerAccess access,
                              CallerLimits limits,
                              std::vector<UnreadableRule> unreadable)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      accounts_(std::move(accounts)),
+      access_(std::move(access)),
       limits_(limits),
-      unreadable_(std::move(unreadable)),
-      has_accounts_(!accounts_.empty() ||
-                    std::ranges::any_of(unreadable_, [](const auto& rule) {
-                      return rule.kind == RuleKind::kAccount;
-                    })) {
+      unreadable_(std::move(unreadable)) {
   for (std::size_t index = 0; index < routes_.size(); ++index) {
     by_host_[routes_[index].host].push_back(index);
   }
@@ -30,11 +26,6 @@
       return routes_[a].path_prefix.size() > routes_[b].path_prefix.size();
     });
   }
-  for (std::size_t index = 0; index < accounts_.size(); ++index) {
-    for (const std::string& key : accounts_[index].keys) {
-      by_key_.emplace(key, index);
-    }
-  }
 }
 
 auto TrafficPolicy::WithLastSound(const TrafficPolicy* before) const
@@ -60,7 +51,7 @@
     }
   }
   return std::make_shared<const TrafficPolicy>(version_, std::move(routes),
-                                               std::move(services), accounts_,
+                                               std::move(services), access_,
                                                limits, unreadable_);
 }
 
@@ -93,12 +84,6 @@
   return nullptr;
 }
 
-auto TrafficPolicy::FindAccount(std::string_view key) const
-    -> const ForwardingAccount* {
-  const auto found = by_key_.find(key);
-  return found == by_key_.end() ? nullptr : &accounts_[found->second];
-}
-
 auto TrafficPolicy::FindService(const ServiceId& id) const
     -> const ForwardingService* {
   const auto found = std::ranges::find(services_, id, &ForwardingService::id);
--- a/src/libzinniastep/gateway/traffic_policy.h
+++ b/src/libzinniastep/gateway/traffic_policy.h
@@ -5,13 +5,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "libzinniastep/base/ids.h"
 #include "libzinniastep/base/time.h"
+#include "libzinniastep/gateway/caller_access.h"
 
 namespace zinniastep {
 
@@ -71,14 +71,6 @@
   double memory_tokens = 0.0;
 };
 
-// A client account and the keys that authenticate its callers.
-struct ForwardingAccount {
-  ClientAccountId id;
-  std::vector<std::string> keys;
-  std::optional<std::uint32_t> priority;
-  std::vector<RegionId> home_regions;
-};
-
 // Limits on the size and timing of callers' requests.
 struct CallerLimits {
   std::size_t header_bytes = 16384;
@@ -110,7 +102,7 @@
   TrafficPolicy(std::uint64_t version,
                 std::vector<ForwardingRoute> routes,
                 std::vector<ForwardingService> services,
-                std::vector<ForwardingAccount> accounts,
+                CallerAccess access,
                 CallerLimits limits,
                 std::vector<UnreadableRule> unreadable = {});
 
@@ -128,18 +120,14 @@
                                std::string_view path) const
       -> const ForwardingRoute*;
 
-  // Returns the account that holds a key, or null.
-  [[nodiscard]] auto FindAccount(std::string_view key) const
-      -> const ForwardingAccount*;
-
   // Returns a service, or null.
   [[nodiscard]] auto FindService(const ServiceId& id) const
       -> const ForwardingService*;
 
   [[nodiscard]] auto version() const -> std::uint64_t { return version_; }
   [[nodiscard]] auto limits() const -> const CallerLimits& { return limits_; }
-  // Without accounts callers need no key.
-  [[nodiscard]] auto has_accounts() const -> bool { return has_accounts_; }
+  // Which callers may use the routes.
+  [[nodiscard]] auto access() const -> const CallerAccess& { return access_; }
   [[nodiscard]] auto unreadable() const -> const std::vector<UnreadableRule>& {
     return unreadable_;
   }
@@ -154,14 +142,11 @@
   std::uint64_t version_;
   std::vector<ForwardingRoute> routes_;
   std::vector<ForwardingService> services_;
-  std::vector<ForwardingAccount> accounts_;
+  CallerAccess access_;
   CallerLimits limits_;
   std::vector<UnreadableRule> unreadable_;
-  bool has_accounts_ = false;
   // Positions in routes_, by host, longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
-  // Positions in accounts_.
-  std::map<std::string, std::size_t, std::less<>> by_key_;
 };
 
 }  // namespace zinniastep
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <utility>
+#include <variant>
 
 #include "libzinniastep/base/hash.h"
 #include "libzinniastep/base/overloaded.h"
@@ -107,15 +108,21 @@
   if (route_ == nullptr) {
     return 404;
   }
-  if (!policy_->has_accounts()) {
-    return 0;
-  }
-  std::string_view key = Header("Authorization");
+  return std::visit(Overloaded{[](const AnonymousCaller&) { return 0U; },
+                               [this](const AccountCaller& caller) {
+                                 account_ = caller.account;
+                                 return 0U;
+                               },
+                               [](const UnknownCaller&) { return 401U; }},
+                    policy_->access().Identify(Key(), route_->is_public));
+}
+
+auto Forwarder::Key() const -> std::optional<std::string_view> {
+  const std::string_view credentials = Header("Authorization");
   const std::string& scheme = engine_.headers().key_scheme;
-  if (key.starts_with(scheme)) {
-    account_ = policy_->FindAccount(key.substr(scheme.size()));
-  }
-  return account_ == nullptr && !route_->is_public ? 401 : 0;
+  return credentials.starts_with(scheme)
+             ? std::optional(credentials.substr(scheme.size()))
+             : std::nullopt;
 }
 
 auto Forwarder::SetDeadline() -> void {
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -77,6 +77,8 @@
 
   // What is wrong with the request itself, or zero.
   auto FindPlace() -> unsigned;
+  // The key that the caller sent, or nullopt.
+  [[nodiscard]] auto Key() const -> std::optional<std::string_view>;
   auto SetDeadline() -> void;
   auto ChooseService() -> void;
   // What the choice of a model depends on, with that many sends left.
--- a/tests/gateway/server_choice_load_test.cc
+++ b/tests/gateway/server_choice_load_test.cc
@@ -45,7 +45,7 @@
   service.memory_tokens = tokens;
   view->policy = std::make_shared<TrafficPolicy>(
       1, std::vector<ForwardingRoute>{}, std::vector{service},
-      std::vector<ForwardingAccount>{}, CallerLimits{});
+      CallerAccess(OpenAccess()), CallerLimits{});
   return view;
 }
 
@@ -106,7 +106,7 @@
   service.memory_tokens = 3000.0;
   view->policy = std::make_shared<TrafficPolicy>(
       1, std::vector<ForwardingRoute>{}, std::vector{service},
-      std::vector<ForwardingAccount>{}, CallerLimits{});
+      CallerAccess(OpenAccess()), CallerLimits{});
   chooser.SetView(At(0), view);
   for (int step = 0; step < 2000; ++step) {
     const Instant now = At(std::int64_t{20} * step + 1);
--- a/tests/platform/record_reader_test.cc
+++ b/tests/platform/record_reader_test.cc
@@ -71,7 +71,7 @@
   ASSERT_NE(route, nullptr);
   EXPECT_EQ(route->repeat_rule, RepeatRule::kAtMostOnce);
   EXPECT_EQ(route->split.at(0).service, ServiceId("q"));
-  EXPECT_EQ((*policy)->FindAccount("k")->id, ClientAccountId("f"));
+  EXPECT_EQ((*policy)->access().FindAccount("k")->id, ClientAccountId("f"));
   EXPECT_EQ((*policy)->limits().body_bytes, 99U);
   EXPECT_FALSE(ReadPolicy(Record(R"({"Version":7})")).ok());
 }
@@ -117,14 +117,44 @@
 TEST(RecordReader, AnOddAccountLosesItsKeysAndOpensNothing) {
   const auto before = *ReadPolicy(Record(kConfiguration));
   const auto one = PolicyWith(R"(["k"])", R"(["k",5])");
-  EXPECT_EQ(one->WithLastSound(before.get())->FindAccount("k"), nullptr);
-  EXPECT_NE(one->FindAccount("l"), nullptr);
+  EXPECT_EQ(one->WithLastSound(before.get())->access().FindAccount("k"),
+            nullptr);
+  EXPECT_NE(one->access().FindAccount("l"), nullptr);
 
   const auto all = PolicyWith(R"([{"Name":"f","ApiKeys":["k"]},)"
                               R"({"Name":"g","ApiKeys":["l"]}])",
                               R"([{"Name":"f","ApiKeys":5}])");
-  EXPECT_TRUE(all->has_accounts());
-  EXPECT_TRUE(all->WithLastSound(before.get())->has_accounts());
+  EXPECT_TRUE(all->access().requires_key());
+  EXPECT_TRUE(all->WithLastSound(before.get())->access().requires_key());
+}
+
+// An empty list was read like a missing one.
+TEST(RecordReader, AnEmptyListOfAccountsStillRequiresKeys) {
+  const std::string accounts =
+      R"([{"Name":"f","ApiKeys":["k"]},{"Name":"g","ApiKeys":["l"]}])";
+  const auto none = PolicyWith(accounts, "[]");
+  EXPECT_TRUE(none->access().requires_key());
+  EXPECT_TRUE(none->access().accounts().empty());
+
+  const auto keyless = PolicyWith(accounts, R"([{"Name":"f","ApiKeys":[]}])");
+  EXPECT_TRUE(keyless->access().requires_key());
+  EXPECT_EQ(keyless->access().FindAccount("k"), nullptr);
+
+  const auto open = PolicyWith(R"(,"Tenants":)" + accounts, "");
+  EXPECT_FALSE(open->access().requires_key());
+}
+
+TEST(RecordReader, AnEmptyListOfAccountsStaysBesideAnOddRule) {
+  const auto before = *ReadPolicy(Record(kConfiguration));
+  std::string changed = kConfiguration;
+  changed.replace(changed.find(R"([{"Name":"f")"), std::string::npos, "[]}");
+  changed.replace(changed.find("2000"), 4, "-1");
+  const auto policy = ReadPolicy(Record(changed));
+  ASSERT_TRUE(policy.ok()) << policy.status();
+  const auto merged = (*policy)->WithLastSound(before.get());
+  EXPECT_NE(merged->FindRoute("h", "/a/"), nullptr);
+  EXPECT_TRUE(merged->access().requires_key());
+  EXPECT_TRUE(merged->access().accounts().empty());
 }
 
 TEST(RecordReader, ReadsARolloutAndWhatWasSaidOfIt) {
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -54,7 +54,7 @@
     }
     return std::make_shared<const TrafficPolicy>(
         std::stoull(record.content), std::vector<ForwardingRoute>(),
-        std::vector<ForwardingService>(), std::vector<ForwardingAccount>(),
+        std::vector<ForwardingService>(), CallerAccess(OpenAccess()),
         CallerLimits());
   };
   decoders.backend =
--- a/tests/traffic/engine_host.cc
+++ b/tests/traffic/engine_host.cc
@@ -66,7 +66,7 @@
   account.keys = {"k"};
   return std::make_shared<const TrafficPolicy>(
       1, std::vector{once, idem, generate, stall, single, quick},
-      std::vector{service}, std::vector{account}, limits);
+      std::vector{service}, CallerAccess(AccountAccess{{account}}), limits);
 }
 
 auto ViewOf(const ServerAddresses& servers) -> std::shared_ptr<TrafficView> {
--- a/tests/traffic/gateway_process.cc
+++ b/tests/traffic/gateway_process.cc
@@ -20,6 +20,11 @@
 using nlohmann::json;
 
 constexpr int kLoopbackNumbers = 250;
+// Revisions of the store in its lists and after a change.
+constexpr int kListedRevision = 5;
+constexpr int kChangedRevision = 6;
+// How long a watch of the configuration waits for its answer.
+constexpr std::chrono::milliseconds kWatchTime(50);
 
 auto JsonAnswer(const std::string& body) -> std::string {
   return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -30,10 +35,19 @@
 auto AnswerFromStore(const StoreContents& contents, const std::string& request)
     -> ScriptedAnswer {
   const std::string line = request.substr(0, request.find("\r\n"));
+  const bool is_config = line.starts_with("GET /v1/objects/config");
   if (line.find("Watch=") != std::string::npos) {
-    return {"", false, true};
+    const std::string first = "Watch=" + std::to_string(kListedRevision) + "&";
+    if (!is_config || !contents.config_changes ||
+        line.find(first) == std::string::npos) {
+      return {"", false, true};
+    }
+    ScriptedAnswer answer;
+    answer.rest = JsonAnswer(contents.config_changes());
+    answer.rest_after = kWatchTime;
+    return answer;
   }
-  if (line.starts_with("GET /v1/objects/config")) {
+  if (is_config) {
     return {JsonAnswer(contents.config)};
   }
   if (line.starts_with("GET /v1/objects/servers")) {
@@ -66,26 +80,42 @@
 }
 
 auto GatewayProcess::List(const json& entries) -> std::string {
-  return json{{"Entries", entries}, {"HasMore", false}, {"At", 5}}.dump();
+  return json{{"Entries", entries}, {"HasMore", false}, {"At", kListedRevision}}
+      .dump();
 }
 
-auto GatewayProcess::Contents(const std::vector<std::string>& server_addresses)
-    -> StoreContents {
+auto GatewayProcess::Change(const json& entry) -> std::string {
+  json object = entry;
+  object["Metadata"]["Revision"] = kChangedRevision;
+  return json{{"events", {{{"Object", object}, {"Removed", false}}}},
+              {"At", kChangedRevision}}
+      .dump();
+}
+
+auto GatewayProcess::NoChange() -> std::string {
+  return json{{"events", json::array()}, {"At", kListedRevision}}.dump();
+}
+
+auto GatewayProcess::ConfigurationEntry() -> json {
   json stream = Route("/gen/", "streaming");
   stream["Resumable"] = true;
-  const json config = {{"Metadata", {{"Name", "main"}, {"Revision", 1}}},
-                       {"Spec",
-                        {{"Version", 1},
-                         {"Routes",
-                          {Route("/once/", "non_idempotent"),
-                           Route("/idem/", "idempotent"), stream}},
-                         {"Services", {{{"Name", "pool"}}}}}}};
+  return {{"Metadata", {{"Name", "main"}, {"Revision", 1}}},
+          {"Spec",
+           {{"Version", 1},
+            {"Routes",
+             {Route("/once/", "non_idempotent"), Route("/idem/", "idempotent"),
+              stream}},
+            {"Services", {{{"Name", "pool"}}}}}}};
+}
+
+auto GatewayProcess::Contents(const std::vector<std::string>& server_addresses)
+    -> StoreContents {
   json servers = json::array();
   for (const std::string& address : server_addresses) {
     servers.push_back(
         ServerEntry("s" + std::to_string(servers.size()), address));
   }
-  return {List(json::array({config})), List(servers)};
+  return {List(json::array({ConfigurationEntry()})), List(servers)};
 }
 
 GatewayProcess::GatewayProcess(StoreContents contents,
--- a/tests/traffic/gateway_process.h
+++ b/tests/traffic/gateway_process.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -18,6 +19,9 @@
   // Bodies of the answers to lists, by the kind's name; other kinds are empty.
   std::string config;
   std::string servers;
+  // Returns the body of the answer to a watch of the configuration from the
+  // list's revision; called on the store's thread. Without it watches wait.
+  std::function<std::string()> config_changes = {};
 };
 
 // A real gateway process before a scripted store, with the ports of its
@@ -43,8 +47,13 @@
   // One entry of the list of servers, as the store holds it.
   static auto ServerEntry(const std::string& name, const std::string& address)
       -> nlohmann::json;
+  // The configuration of Contents(), as the store holds it.
+  static auto ConfigurationEntry() -> nlohmann::json;
   // A list of entries, as the store answers it.
   static auto List(const nlohmann::json& entries) -> std::string;
+  // The answer to a watch from such a list: a change to one entry, or none.
+  static auto Change(const nlohmann::json& entry) -> std::string;
+  static auto NoChange() -> std::string;
 
   // Waits until callers' connections are answered.
   auto WaitUntilServing() -> bool;
