Log whether callers need a key under a configuration in force

Operators could not see from the log whether a version without accounts asks for keys: the line named version and revision alone, so that "not in force" and "in force, but read as open" looked alike from the hosts' side. The line configuration_in_force now has the numbers of routes and accounts and whether callers need a key. gateway_accounts_test waits for these fields and passes.

--- a/src/libzinniastep/gateway/operator_records.cc
+++ b/src/libzinniastep/gateway/operator_records.cc
@@ -29,9 +29,13 @@
       policy_ = (*policy)->unreadable().empty()
                     ? *std::move(policy)
                     : (*policy)->WithLastSound(policy_.get());
-      outbox.Log("configuration_in_force",
-                 {{"version", std::to_string(policy_->version())},
-                  {"revision", std::to_string(record.revision)}});
+      outbox.Log(
+          "configuration_in_force",
+          {{"version", std::to_string(policy_->version())},
+           {"revision", std::to_string(record.revision)},
+           {"routes", std::to_string(policy_->routes().size())},
+           {"accounts", std::to_string(policy_->access().accounts().size())},
+           {"requires_key", policy_->access().requires_key() ? "yes" : "no"}});
     }
   }
 }
--- a/tests/process/gateway_accounts_test.cc
+++ b/tests/process/gateway_accounts_test.cc
@@ -89,8 +89,11 @@
   EXPECT_EQ(StatusOf(caller, "/once/", kKeys[0]), 200);
   EXPECT_EQ(StatusOf(caller, "/once/", kKeys[1]), 401);
   is_changed = true;
-  ASSERT_TRUE(gateway.WaitForLog("event=configuration_in_force version=2",
-                                 seconds(10)));
+  ASSERT_TRUE(
+      gateway.WaitForLog("event=configuration_in_force version=2 "
+                         "revision=6 routes=4 accounts=0 "
+                         "requires_key=yes",
+                         seconds(10)));
   ExpectOnlyPublicRoutes(gateway, caller, server);
 }
 
