Stop sending to a route's older service when its split becomes empty

The same cause as for accounts: an empty list was read like a missing one. A route whose TrafficSplit became empty counted as a route without a split, which must name its Service. Without one the whole route was unreadable and stayed as it was before, so that its older service went on getting requests; a host that had just started answered 404, which no caller tries again. If all shares of a split were zero, its last service got every request.

Change: a split that is there decides, unless it is empty and the route names a service. ServiceAt, which runs without a network, gives a share of zero nothing and a split without any share no service. The forwarder then refuses at once, with 503, Retry-After and the outcome no_service: the request has not run, and the next version may bring a service. AllowedRegions and Sizes stay as they are: on the platform's examples an empty AllowedRegions means every region, and without models the caller names its own whether the list is empty or missing.

--- a/src/libzinniastep/gateway/traffic_policy.h
+++ b/src/libzinniastep/gateway/traffic_policy.h
@@ -12,16 +12,10 @@
 #include "libzinniastep/base/ids.h"
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/caller_access.h"
+#include "libzinniastep/gateway/service_split.h"
 
 namespace zinniastep {
 
-// A part of a route's traffic that goes to one service.
-struct ServiceShare {
-  ServiceId service;
-  // Relative to the other shares of the route.
-  double weight = 1.0;
-};
-
 // How often the work behind a route may run for one client attempt.
 enum class RepeatRule : std::uint8_t { kAtMostOnce, kIdempotent };
 
@@ -51,6 +45,7 @@
   // Models that may answer, smallest first; empty if the caller chooses the
   // model.
   std::vector<std::string> models;
+  // Requests are refused if no share is above zero.
   std::vector<ServiceShare> split;
   // Regions that may serve the route; empty means all.
   std::vector<RegionId> home_regions;
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -8,6 +8,7 @@
 #include "libzinniastep/base/hash.h"
 #include "libzinniastep/base/overloaded.h"
 #include "libzinniastep/gateway/request_signature.h"
+#include "libzinniastep/gateway/service_split.h"
 #include "libzinniastep/traffic/forwarded_request.h"
 #include "libzinniastep/traffic/forwarder_limits.h"
 #include "libzinniastep/traffic/http_text.h"
@@ -86,7 +87,10 @@
   crash_parts_ = prompt_.shared_parts;
   crash_parts_.insert(crash_parts_.begin(), signature_);
   session_ = prompt_.session != 0 ? prompt_.session : StableHash(request_id_);
-  ChooseService();
+  if (!ChooseService()) {
+    Refuse("no_service");
+    return;
+  }
   engine_.BudgetFor(service_).OnRequest(began_);
   ArmTimer();
   Dispatch();
@@ -137,26 +141,22 @@
   progress_.most_servers = std::max(route_->most_servers, 1U);
 }
 
-auto Forwarder::ChooseService() -> void {
-  double total = 0.0;
-  for (const ServiceShare& share : route_->split) {
-    total += share.weight;
-  }
+auto Forwarder::ChooseService() -> bool {
   // Requests of a session stay together.
-  double draw = static_cast<double>(StableHash(route_->name, session_) >> 11U) *
-                0x1.0p-53 * total;
-  for (const ServiceShare& share : route_->split) {
-    service_ = share.service;
-    draw -= share.weight;
-    if (draw < 0.0) {
-      break;
-    }
+  const double position =
+      static_cast<double>(StableHash(route_->name, session_) >> 11U) *
+      0x1.0p-53;
+  const ServiceId* service = ServiceAt(route_->split, position);
+  if (service == nullptr) {
+    return false;
   }
+  service_ = *service;
   names_model_ =
       !route_->models.empty() && Header(engine_.headers().model) == "*";
   if (names_model_) {
     ChooseFirstModel();
   }
+  return true;
 }
 
 auto Forwarder::Signature() const -> PromptPartId {
--- a/src/libzinniastep/traffic/forwarder.h
+++ b/src/libzinniastep/traffic/forwarder.h
@@ -80,7 +80,9 @@
   // The key that the caller sent, or nullopt.
   [[nodiscard]] auto Key() const -> std::optional<std::string_view>;
   auto SetDeadline() -> void;
-  auto ChooseService() -> void;
+  // Chooses the service and the first model. Returns false if the route has no
+  // service.
+  auto ChooseService() -> bool;
   // What the choice of a model depends on, with that many sends left.
   [[nodiscard]] auto LadderInputs(Instant now, std::uint32_t sends_left) const
       -> ModelLadderInputs;
--- a/tests/platform/record_reader_test.cc
+++ b/tests/platform/record_reader_test.cc
@@ -144,6 +144,24 @@
   EXPECT_FALSE(open->access().requires_key());
 }
 
+// An empty split made the route unreadable, so that its older services stayed.
+TEST(RecordReader, AnEmptySplitTakesTheRoutesServiceAway) {
+  const auto before = *ReadPolicy(Record(kConfiguration));
+  const auto none = PolicyWith(R"("Service":"p")", R"("TrafficSplit":[])");
+  EXPECT_TRUE(none->unreadable().empty());
+  const auto merged = none->WithLastSound(before.get());
+  ASSERT_NE(merged->FindRoute("h", "/a/"), nullptr);
+  EXPECT_TRUE(merged->FindRoute("h", "/a/")->split.empty());
+
+  const auto named =
+      PolicyWith(R"("Service":"p")", R"("TrafficSplit":[],"Service":"p")");
+  ASSERT_EQ(named->FindRoute("h", "/a/")->split.size(), 1U);
+  EXPECT_EQ(named->FindRoute("h", "/a/")->split[0].service, ServiceId("p"));
+
+  const auto missing = PolicyWith(R"("Service":"p")", R"("Public":false)");
+  EXPECT_EQ(missing->unreadable().size(), 1U);
+}
+
 TEST(RecordReader, AnEmptyListOfAccountsStaysBesideAnOddRule) {
   const auto before = *ReadPolicy(Record(kConfiguration));
   std::string changed = kConfiguration;
--- a/tests/traffic/view_change_test.cc
+++ b/tests/traffic/view_change_test.cc
@@ -1,7 +1,9 @@
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -52,6 +54,29 @@
   EXPECT_EQ(answers[1].status, 200);
 }
 
+auto TakeServicesAway(TrafficView& view) -> void {
+  std::vector<ForwardingRoute> routes = view.policy->routes();
+  for (ForwardingRoute& route : routes) {
+    route.split.clear();
+  }
+  view.policy = std::make_shared<const TrafficPolicy>(
+      2, std::move(routes), view.policy->services(), view.policy->access(),
+      CallerLimits());
+}
+
+TEST(ViewChange, ARouteWhoseServiceWasTakenAwayRefusesAtOnce) {
+  const ScriptedServer server(Hello);
+  EngineHost host({&server});
+  const auto answers = host.CallInTurn(
+      {EngineHost::Request("/idem/"), EngineHost::Request("/idem/")},
+      [&] { host.ChangeView(&TakeServicesAway); });
+  EXPECT_EQ(answers[0].status, 200);
+  EXPECT_EQ(answers[1].status, 503);
+  EXPECT_NE(HeaderOf(answers[1].head, "Retry-After"), "");
+  EXPECT_EQ(host.Logged("request_over", "outcome").back(), "no_service");
+  EXPECT_EQ(server.requests().size(), 1U);
+}
+
 constexpr char kWhole[] = "id: 1\ndata: t\n\nid: 2\ndata: t\n\n";
 
 auto StreamHead() -> std::string {
