Decide who a caller is by a visitor over the access rule

Identify() asked requires_key() first; the two rules now stand beside each other. No change of behaviour; caller_access_test covers both rules.

--- a/src/libzinniastep/gateway/caller_access.cc
+++ b/src/libzinniastep/gateway/caller_access.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "libzinniastep/base/overloaded.h"
+
 namespace zinniastep {
 
 CallerAccess::CallerAccess(AccessRule rule) : rule_(std::move(rule)) {
@@ -15,16 +17,21 @@
 
 auto CallerAccess::Identify(std::optional<std::string_view> key,
                             bool is_public_route) const -> CallerIdentity {
-  if (!requires_key()) {
-    return AnonymousCaller();
-  }
-  const ForwardingAccount* account =
-      key.has_value() ? FindAccount(*key) : nullptr;
-  if (account != nullptr) {
-    return AccountCaller{account};
-  }
-  return is_public_route ? CallerIdentity(AnonymousCaller())
-                         : CallerIdentity(UnknownCaller());
+  return std::visit(
+      Overloaded{
+          [](const OpenAccess&) -> CallerIdentity { return AnonymousCaller(); },
+          [&](const AccountAccess&) -> CallerIdentity {
+            const ForwardingAccount* account =
+                key.has_value() ? FindAccount(*key) : nullptr;
+            if (account != nullptr) {
+              return AccountCaller{account};
+            }
+            if (is_public_route) {
+              return AnonymousCaller();
+            }
+            return UnknownCaller();
+          }},
+      rule_);
 }
 
 auto CallerAccess::FindAccount(std::string_view key) const
