--- a/tests/platform/record_list_test.cc
+++ b/tests/platform/record_list_test.cc
@@ -129,6 +129,23 @@
   EXPECT_EQ(page.unreadable[0].name, "odd");
 }
 
+TEST(RecordListTest, AnAnswerWithoutItsListIsNotAnEmptyOne) {
+  EXPECT_TRUE(std::holds_alternative<RecordPage>(
+      ReadRecordPage(R"({"Entries":[],"HasMore":false,"At":12})")));
+  EXPECT_TRUE(std::holds_alternative<RecordChanges>(
+      ReadRecordChanges(R"({"events":[],"At":12})")));
+  EXPECT_TRUE(ReadHostList(R"({"Entries":[]})").has_value());
+  for (const char* body :
+       {R"({"HasMore":false,"At":12})", R"({"Entries":null,"At":12})",
+        R"({"Entries":{},"At":12})", R"({"events":{},"At":12})", "{}", ""}) {
+    EXPECT_TRUE(std::holds_alternative<ReadFailed>(ReadRecordPage(body)))
+        << body;
+    EXPECT_TRUE(std::holds_alternative<ReadFailed>(ReadRecordChanges(body)))
+        << body;
+    EXPECT_FALSE(ReadHostList(body).has_value()) << body;
+  }
+}
+
 TEST(RecordListTest, APageOfUnusableEntriesIsNotTheLast) {
   const std::string deleting =
       Replaced(Server("z"), R"("Deleting":false)", R"("Deleting":true)");
