--- a/tests/gateway/placing_hints_test.cc
+++ b/tests/gateway/placing_hints_test.cc
@@ -108,7 +108,8 @@
   ForwardingRoute narrow = wide;
   narrow.name = "narrow";
   narrow.path_prefix = "/a/b/";
-  const TrafficPolicy policy(1, {wide, narrow}, {}, {}, {});
+  const TrafficPolicy policy(1, {wide, narrow}, {}, CallerAccess(OpenAccess()),
+                             {});
   EXPECT_EQ(policy.FindRoute("x", "/a/b/c")->name, "narrow");
   EXPECT_EQ(policy.FindRoute("x", "/a/bc")->name, "wide");
   EXPECT_EQ(policy.FindRoute("x", "/b/"), nullptr);
