--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -26,4 +26,5 @@
 fuzz entry_fuzz platform/record_list.cc platform/record_reader.cc \
   src/libzinniastep/configuration/json_object_reader.cc \
   src/libzinniastep/configuration/numeric_address.cc \
+  src/libzinniastep/gateway/caller_access.cc \
   src/libzinniastep/gateway/traffic_policy.cc
