--- a/scripts/play-sites.sh
+++ b/scripts/play-sites.sh
@@ -20,9 +20,9 @@
   "sites/pssc-zinnia 40"
   "grown/coopline-grown 8"
   "grown/pssc-zinnia-grown 8"
+  "large/coopline-large 8"
   "demands/corrida-ne-grown 8"
   "demands/maraval-stationery-grown 8"
-  "large/coopline-large 8"
 )
 # Sites that the users have not put in force yet.
 not_in_force=(
