Log where records came from, lost watches, and a request's homes and region

Operators saw requests outside their home region, and no log line told whether a host went by an older configuration, how it came to it, or what the request's homes were. A line of a request names the server's region and the homes that were in force for it; a change of records names its source; and a watch that ends without its changes says for how long it was believed.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -45,6 +45,8 @@
 // After this time a host serves even if it has not met its peers.
 constexpr Duration kLongestJoin = std::chrono::milliseconds(1500);
 constexpr Duration kJoinPoll = std::chrono::milliseconds(100);
+// Names the store in log lines about where records came from.
+constexpr char kFromStore[] = "store";
 
 }  // namespace
 
@@ -141,14 +143,16 @@
     reader_role_.OnStoreAnswer(now);
   }
   if (changed) {
-    ApplyRecords(now, kind);
+    ApplyRecords(now, kind, kFromStore);
     outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
   }
   StartReads(now);
   return TakeActions(now);
 }
 
-auto GatewayCore::ApplyRecords(Instant now, RecordKind kind) -> void {
+auto GatewayCore::ApplyRecords(Instant now,
+                               RecordKind kind,
+                               std::string_view source) -> void {
   peer_fetches_.OnReceived(kind);
   dirty_ = true;
   const StorePosition as_of = mirror_.Digest(kind).as_of;
@@ -182,7 +186,8 @@
   outbox_.Log("records_changed",
               {{"kind", std::to_string(static_cast<int>(kind))},
                {"as_of", as_of.text()},
-               {"count", std::to_string(mirror_.records(kind).size())}});
+               {"count", std::to_string(mirror_.records(kind).size())},
+               {"source", std::string(source)}});
 }
 
 auto GatewayCore::OnRegistered(Instant now, WriteOutcome outcome)
@@ -288,7 +293,7 @@
                 {{"peer", from.host.text()},
                  {"kind", std::to_string(static_cast<int>(snapshot.kind))},
                  {"as_of", snapshot.as_of.text()}});
-    ApplyRecords(now, snapshot.kind);
+    ApplyRecords(now, snapshot.kind, from.host.text());
     outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
   }
 }
@@ -318,7 +323,7 @@
                {"removed", std::to_string(delta.removed.size())},
                {"fits", outcome == DeltaOutcome::kChanged ? "yes" : "no"}});
   if (mirror_.IsKnown(delta.kind)) {
-    ApplyRecords(now, delta.kind);
+    ApplyRecords(now, delta.kind, from.host.text());
   }
   if (outcome == DeltaOutcome::kMismatch) {
     peer_fetches_.OnDeltaMismatch(now, delta.kind, from);
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -78,8 +79,10 @@
   [[nodiscard]] auto IsReady() const -> bool { return published_; }
 
  private:
-  // Updates all state that is derived from the records of a kind.
-  auto ApplyRecords(Instant now, RecordKind kind) -> void;
+  // Updates all state that is derived from the records of a kind. `source` is
+  // the host that sent them, or the store.
+  auto ApplyRecords(Instant now, RecordKind kind, std::string_view source)
+      -> void;
   [[nodiscard]] auto HasAllKinds() const -> bool;
   // Requests from peers the kinds of which this host has no records yet.
   auto RequestMissingKinds() -> void;
--- a/src/libzinniastep/gateway/record_watcher.cc
+++ b/src/libzinniastep/gateway/record_watcher.cc
@@ -33,6 +33,7 @@
     return std::nullopt;
   }
   reading_ = true;
+  read_began_ = now;
   if (listing_) {
     const Duration timeout =
         std::min(limits_.longest_list_timeout,
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -136,6 +136,11 @@
     return !listing_ && era == era_;
   }
 
+  // Returns how long the current read has taken; zero without one.
+  [[nodiscard]] auto ReadTime(Instant now) const -> Duration {
+    return reading_ ? now - read_began_ : Duration(0);
+  }
+
   // Returns the revision up to which the kind was read.
   [[nodiscard]] auto as_of() const -> std::uint64_t { return as_of_; }
   [[nodiscard]] auto failures_in_row() const -> std::uint32_t {
@@ -155,6 +160,7 @@
   WatcherLimits limits_;
   Random random_;
   bool reading_ = false;
+  Instant read_began_;
   bool listing_ = true;
   std::uint64_t as_of_ = 0;
   // Era of the current list, and of the watches that follow it.
--- a/src/libzinniastep/gateway/server_chooser.h
+++ b/src/libzinniastep/gateway/server_chooser.h
@@ -94,6 +94,9 @@
   auto SetView(Instant now, std::shared_ptr<const TrafficView> view)
       -> std::vector<LeavingServers::Ended>;
 
+  // Returns the region of a failure domain; empty if the view does not name it.
+  [[nodiscard]] auto RegionOf(const FailureDomainId& domain) const -> RegionId;
+
   // Returns a server of the current view, or null; reason() then returns why.
   // Charges the request to a cold server's limit.
   [[nodiscard]] auto Choose(Instant now, const ServerNeed& need)
@@ -240,7 +243,6 @@
                                const UsableBackend& backend,
                                const ServerNeed& need) const -> double;
   [[nodiscard]] auto DistanceCost(const UsableBackend& backend) const -> double;
-  [[nodiscard]] auto RegionOf(const FailureDomainId& domain) const -> RegionId;
   // Charges one request to the server's limit and returns whether the limit
   // allows it. Warm servers are only paced, which `ignore_pacing` disables.
   auto TryReserve(Instant now, const UsableBackend& backend, bool ignore_pacing)
--- a/src/libzinniastep/gateway/store_follower.cc
+++ b/src/libzinniastep/gateway/store_follower.cc
@@ -1,8 +1,12 @@
 #include "libzinniastep/gateway/store_follower.h"
 
+#include <chrono>
 #include <string>
+#include <string_view>
 #include <variant>
 
+#include "libzinniastep/base/overloaded.h"
+
 namespace zinniastep {
 
 namespace {
@@ -73,11 +77,36 @@
   return IsUsed(verdict);
 }
 
+auto StoreFollower::LogLostWatch(Instant now,
+                                 RecordKind kind,
+                                 const RecordReadResult& result) -> void {
+  const auto log = [&](std::string_view reason) {
+    outbox_.Log(
+        "store_watch_lost",
+        {{"kind", Number(kind)},
+         {"reason", std::string(reason)},
+         {"waited_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             At(kind).ReadTime(now))
+                             .count())},
+         {"as_of", std::to_string(At(kind).as_of())}});
+  };
+  std::visit(Overloaded{[&](const HistoryGone&) { log("history_gone"); },
+                        [&](const ReadFailed& failed) {
+                          if (failed.is_watch) {
+                            log(failed.answered ? "refused" : "unanswered");
+                          }
+                        },
+                        [](const auto&) {}},
+             result);
+}
+
 auto StoreFollower::OnRead(Instant now,
                            RecordKind kind,
                            const RecordReadResult& result) -> bool {
   RecordWatcher& watcher = At(kind);
   outbox_.LogUnreadable(kind, result);
+  LogLostWatch(now, kind, result);
   if (!Accept(now, kind, result)) {
     watcher.OnUnused(now, result);
     return false;
--- a/src/libzinniastep/gateway/store_follower.h
+++ b/src/libzinniastep/gateway/store_follower.h
@@ -48,6 +48,10 @@
   auto Accept(Instant now, RecordKind kind, const RecordReadResult& result)
       -> bool;
   auto OnLaterEra(Instant now) -> void;
+  // Logs a watch that ended without saying what changed while it waited.
+  auto LogLostWatch(Instant now,
+                    RecordKind kind,
+                    const RecordReadResult& result) -> void;
   [[nodiscard]] auto At(RecordKind kind) -> RecordWatcher&;
 
   RecordMirror& mirror_;
--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -22,6 +24,14 @@
 // packet is sent again after a second, which another server need not wait for.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
 
+auto RegionNames(std::span<const RegionId> regions) -> std::string {
+  std::string text;
+  for (const RegionId& region : regions) {
+    text += (text.empty() ? "" : ",") + region.text();
+  }
+  return text;
+}
+
 }  // namespace
 
 Forwarder::Forwarder(TrafficEngine& engine,
@@ -391,16 +401,21 @@
   engine_.chooser().OnBegin(server_->id, Tokens());
   clocks_.Begin(sent_at_, {service_, server_->version, route_->name},
                 ExpectedDelay());
-  engine_.Log({"request_sent",
-               {{"request", request_id_},
-                {"route", route_->name},
-                {"server", server_->id.text()},
-                {"server_version", server_->version},
-                {"session", std::to_string(session_)},
-                {"model", names_model_ ? route_->models[model_] : ""},
-                {"policy", std::to_string(policy_->version())},
-                {"send", std::to_string(tried_.size())},
-                {"left_ms", std::to_string(Milliseconds(TimeLeft()))}}});
+  engine_.Log(
+      {"request_sent",
+       {{"request", request_id_},
+        {"route", route_->name},
+        {"server", server_->id.text()},
+        {"server_version", server_->version},
+        {"session", std::to_string(session_)},
+        {"model", names_model_ ? route_->models[model_] : ""},
+        {"policy", std::to_string(policy_->version())},
+        {"region", engine_.chooser().RegionOf(server_->domain).text()},
+        {"homes", RegionNames(route_->home_regions)},
+        {"account_homes",
+         account_ == nullptr ? "" : RegionNames(account_->home_regions)},
+        {"send", std::to_string(tried_.size())},
+        {"left_ms", std::to_string(Milliseconds(TimeLeft()))}}});
   connection_->Send(RequestText(backend), attempt_id_, kConnectTimeout,
                     shared_from_this());
   ArmTimer();
