Answer a peer that reports an older state of the store's records

Callers whose host is behind are served by routes, keys, homes and servers that are no longer in force. A host that does not read the store hears of a change from peers that chose it at random: four told by each host that changed, and two by each host a second. A host that none of them chose stays behind, and though it tells two peers a second which state it holds, a peer with a newer one did not answer.

A host that gets a digest of an older state now answers with its own, at most once in 100 ms, so that a host that is behind is told by its own digests as well as by those that happen to reach it.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -39,6 +39,9 @@
 constexpr std::size_t kDeciderFanOut = 16;
 constexpr std::size_t kPeriodicFanOut = 2;
 constexpr Duration kDigestPeriod = std::chrono::seconds(1);
+// A host answers at most one older digest in this time: two hosts may each be
+// behind the other in some kind.
+constexpr Duration kDigestReplyPause = std::chrono::milliseconds(100);
 // How long servers count as cold when a failure domain is taken back and the
 // service has no setting for it.
 constexpr Duration kUnknownColdStart = std::chrono::seconds(3);
@@ -246,12 +249,18 @@
     outbox_.SendToRandomPeers(kRolloutFanOut, Digest(now));
   }
   reader_role_.OnDigest(now, digest);
+  bool is_behind = false;
   for (const RecordKind kind : kAllKinds) {
     const RecordDigest& state = digest.kinds.at(static_cast<std::size_t>(kind));
     store_.OnPeerEra(now, state.as_of.era);
     if (mirror_.IsNewer(kind, state)) {
       peer_fetches_.OnNewerState(now, kind, from, IsInOwnRegion(from));
     }
+    is_behind = is_behind || mirror_.IsOlder(kind, state);
+  }
+  if (is_behind && now >= next_digest_reply_) {
+    next_digest_reply_ = now + kDigestReplyPause;
+    outbox_.Send(from, Digest(now));
   }
   RequestNewerStates(now);
 }
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -153,6 +153,7 @@
   Instant started_;
   bool is_started_ = false;
   Instant next_digest_;
+  Instant next_digest_reply_;
   // When to rebuild the view, because its content also depends on time.
   std::optional<Instant> next_publish_;
 };
--- a/src/libzinniastep/gateway/record_mirror.cc
+++ b/src/libzinniastep/gateway/record_mirror.cc
@@ -175,6 +175,14 @@
           (digest.as_of > kind.as_of && digest.hash != kind.hash));
 }
 
+auto RecordMirror::IsOlder(RecordKind kind_name,
+                           const RecordDigest& digest) const -> bool {
+  const KindState& kind = At(kind_name);
+  return kind.known && digest.as_of > StorePosition() &&
+         (digest.as_of.era < kind.as_of.era ||
+          (digest.as_of < kind.as_of && digest.hash != kind.hash));
+}
+
 auto RecordMirror::Digest(RecordKind kind_name) const -> RecordDigest {
   const KindState& kind = At(kind_name);
   return {kind.known ? kind.as_of : StorePosition(), kind.hash};
--- a/src/libzinniastep/gateway/record_mirror.h
+++ b/src/libzinniastep/gateway/record_mirror.h
@@ -150,6 +150,10 @@
       -> bool;
 
   [[nodiscard]] auto Digest(RecordKind kind) const -> RecordDigest;
+
+  // Returns whether the digest is of an older state than the one held.
+  [[nodiscard]] auto IsOlder(RecordKind kind, const RecordDigest& digest) const
+      -> bool;
   [[nodiscard]] auto Snapshot(RecordKind kind) const -> RecordSnapshot;
   // Returns what changed since a revision, or nullopt when removals since then
   // are no longer stored, or the changes are no smaller than the full state.
