Ask the store again within the time that a change has to be in effect

A host waited for the answer of a watch for up to 6 s, and 1.5 s more until it gave it up, on a site where a configuration has to be in force after 2.5 or 4 s. A watch that lost the change, because the store compacted its history or its answer never came, was believed all that time, and by all readers alike, since each change ends all their watches at one moment.

How long a watch is believed now follows from the time after which a change of its kind has to be in effect, which the platform's settings state: a part of it and a random one, so that the readers' watches end at different moments. The same holds for servers that leave, evacuations and roll-outs.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -27,9 +27,6 @@
 // A standby reader collects changes of backend servers for this long per call;
 // it receives most of them from the first reader.
 constexpr Duration kStandbyBatchPause = std::chrono::milliseconds(1000);
-// A watch of backend servers ends after this time without a change: its answer
-// shows the fleet that the store is reachable.
-constexpr Duration kServersWatchWait = std::chrono::seconds(2);
 // Peers to which a host sends a change in a larger fleet. Each of them sends it
 // to as many: 2,000 hosts are reached in seven steps.
 constexpr std::size_t kChangeFanOut = 4;
@@ -72,7 +69,7 @@
       kept_([this](const StoredRecord& record) {
         return operators_.ConfigurationVersion(record);
       }),
-      store_(settings.leaving_time, random_, mirror_, kept_, outbox_),
+      store_(settings, random_, mirror_, kept_, outbox_),
       rollouts_(self_.host, ring_, outbox_),
       registration_(outbox_) {}
 
@@ -129,10 +126,13 @@
     return;
   }
   const bool may_watch = reader_role_.IsSettled(now);
-  if (may_watch && reader_role_.ReadsForOthers()) {
-    store_.SetPace(RecordKind::kBackendServers,
-                   reader_role_.IsStandby() ? kStandbyBatchPause : Duration(0),
-                   kServersWatchWait);
+  const bool for_others = may_watch && reader_role_.ReadsForOthers();
+  store_.SetReaders(for_others ? StoreReaders::kFew : StoreReaders::kAll,
+                    reader_role_.order());
+  if (for_others) {
+    store_.SetPause(RecordKind::kBackendServers, reader_role_.IsStandby()
+                                                     ? kStandbyBatchPause
+                                                     : Duration(0));
   }
   store_.StartReads(now, may_watch);
 }
@@ -389,7 +389,8 @@
   std::ranges::copy_if(
       live, std::back_inserter(region_hosts),
       [this](const HostIdentity& host) { return host.region == self_.region; });
-  reader_role_.OnHostsChanged(live.size(), HostRing(region_hosts));
+  reader_role_.OnHostsChanged(live.size(), HostRing(region_hosts),
+                              PlaceOf(self_.region, live));
   const std::vector<HostIdentity> staying = StayingHosts(membership_);
   const std::vector<HostIdentity> preferred = PreferredFronts(staying);
   fronts_ = FrontsOf(staying, preferred);
--- a/src/libzinniastep/gateway/gateway_settings.cc
+++ b/src/libzinniastep/gateway/gateway_settings.cc
@@ -14,11 +14,13 @@
 constexpr std::size_t kMaxAddressLength = 64;
 constexpr RealRange kAnyMilliseconds{0.0, 600'000.0};
 constexpr RealRange kAnySeconds{0.0, 600.0};
-// Defaults where the platform sets no limit: the shortest shutdown grace,
-// leaving time and address lifetime of the deployments so far, and repeats of
-// at most a tenth.
+// Defaults where the platform sets no limit: the shortest times of the
+// deployments so far, and repeats of at most a tenth.
 constexpr double kDefaultShutdownSeconds = 8.0;
 constexpr double kDefaultLeavingMs = 2500.0;
+constexpr double kDefaultConfigurationMs = 2500.0;
+constexpr double kDefaultRollbackMs = 5000.0;
+constexpr double kDefaultEvacuationMs = 5000.0;
 constexpr double kDefaultLifetimeSeconds = 5.0;
 constexpr double kDefaultWindowSeconds = 10.0;
 constexpr double kDefaultRepeatShare = 0.1;
@@ -151,6 +153,12 @@
       ReadSeconds(reader, "shutdown_s", kDefaultShutdownSeconds);
   settings.leaving_time =
       ReadMilliseconds(reader, "leaving_ms", kDefaultLeavingMs);
+  settings.configuration_time =
+      ReadMilliseconds(reader, "configuration_ms", kDefaultConfigurationMs);
+  settings.rollback_time =
+      ReadMilliseconds(reader, "rollback_ms", kDefaultRollbackMs);
+  settings.evacuation_time =
+      ReadMilliseconds(reader, "evacuation_ms", kDefaultEvacuationMs);
   settings.longest_address_lifetime =
       ReadSeconds(reader, "address_lifetime_s", kDefaultLifetimeSeconds);
   settings.repeat_share = reader.Real("repeat_share", kAnyShare,
--- a/src/libzinniastep/gateway/gateway_settings.h
+++ b/src/libzinniastep/gateway/gateway_settings.h
@@ -44,6 +44,12 @@
   Duration shutdown_time{0};
   // After this time a server that left must get no more requests.
   Duration leaving_time{0};
+  // After these times a new configuration has to be in force, a failed version
+  // to be withdrawn, and a failure domain that was taken out to get no more
+  // requests.
+  Duration configuration_time{0};
+  Duration rollback_time{0};
+  Duration evacuation_time{0};
   // Longest time that callers keep an answer of the directory.
   Duration longest_address_lifetime{0};
   // Repeats that all hosts together may send to a service: a share of its
--- a/src/libzinniastep/gateway/record_watcher.cc
+++ b/src/libzinniastep/gateway/record_watcher.cc
@@ -41,8 +41,11 @@
                      (1U << std::min(failures_, kMaxDoublings)));
     return ListRecords{kind_, after_, timeout};
   }
-  return WatchRecords{kind_, as_of_, limits_.watch_wait,
-                      limits_.watch_wait + limits_.watch_slack};
+  const Duration wait =
+      limits_.shortest_wait +
+      std::chrono::duration_cast<Duration>(
+          (limits_.longest_wait - limits_.shortest_wait) * random_.Unit());
+  return WatchRecords{kind_, as_of_, wait, wait + limits_.watch_slack};
 }
 
 auto RecordWatcher::Pause(Instant now) -> void {
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -80,9 +80,11 @@
 
 // Wait times, timeouts and pauses for reading one kind.
 struct WatcherLimits {
-  // Longest wait of one watch. Each watch is a priced call, and its answer
-  // shows the fleet that the store is reachable.
-  Duration watch_wait = std::chrono::seconds(6);
+  // Each watch waits for a random time between these. A watch may lose a
+  // change, which the next one finds, and watches of hosts that heard of the
+  // same change end at different times.
+  Duration shortest_wait = std::chrono::seconds(6);
+  Duration longest_wait = std::chrono::seconds(6);
   // A watch without an answer is aborted this long after its wait.
   Duration watch_slack = std::chrono::milliseconds(1500);
   // A list is aborted after the first timeout, doubled with each failure in a
@@ -110,11 +112,13 @@
   [[nodiscard]] auto NextRead(Instant now, bool may_watch = true)
       -> std::optional<RecordRead>;
 
-  // Waits at least `pause` after changes before the next watch, which ends
-  // after `wait` without a change.
-  auto SetPace(Duration pause, Duration wait) -> void {
-    least_pause_ = pause;
-    limits_.watch_wait = wait;
+  // Waits at least `pause` after changes before the next watch.
+  auto SetPause(Duration pause) -> void { least_pause_ = pause; }
+
+  // Sets between which times the next watches end without a change.
+  auto SetWaits(Duration shortest, Duration longest) -> void {
+    limits_.shortest_wait = shortest;
+    limits_.longest_wait = longest;
   }
 
   // Handles the result of the current read, which is of the store's era `era`.
--- a/src/libzinniastep/gateway/store_follower.cc
+++ b/src/libzinniastep/gateway/store_follower.cc
@@ -22,19 +22,25 @@
 
 }  // namespace
 
-StoreFollower::StoreFollower(Duration leaving_time,
+StoreFollower::StoreFollower(const GatewaySettings& settings,
                              Random& random,
                              RecordMirror& mirror,
                              KeptRecords& kept,
                              GatewayOutbox& outbox)
-    : mirror_(mirror), kept_(kept), outbox_(outbox) {
-  for (std::size_t kind = 0; kind < kRecordKinds; ++kind) {
+    : times_(), mirror_(mirror), kept_(kept), outbox_(outbox) {
+  for (std::size_t index = 0; index < kRecordKinds; ++index) {
+    const auto kind = static_cast<RecordKind>(index);
+    times_.at(index) = TimeToTakeEffect(settings, kind);
+    const WatchPace pace =
+        WatchPaceFor(times_.at(index), StoreReaders::kAll, 0);
     WatcherLimits limits;
-    if (static_cast<RecordKind>(kind) == RecordKind::kBackendServers) {
-      limits.batch_pause = leaving_time / kServersBatchDivisor;
+    limits.shortest_wait = pace.shortest_wait;
+    limits.longest_wait = pace.longest_wait;
+    limits.watch_slack = pace.slack;
+    if (kind == RecordKind::kBackendServers) {
+      limits.batch_pause = settings.leaving_time / kServersBatchDivisor;
     }
-    watchers_.emplace_back(static_cast<RecordKind>(kind), limits,
-                           random.Next());
+    watchers_.emplace_back(kind, limits, random.Next());
   }
 }
 
@@ -50,9 +56,16 @@
   }
 }
 
-auto StoreFollower::SetPace(RecordKind kind, Duration pause, Duration wait)
+auto StoreFollower::SetReaders(StoreReaders readers, std::size_t order)
     -> void {
-  At(kind).SetPace(pause, wait);
+  for (std::size_t kind = 0; kind < kRecordKinds; ++kind) {
+    const WatchPace pace = WatchPaceFor(times_.at(kind), readers, order);
+    watchers_.at(kind).SetWaits(pace.shortest_wait, pace.longest_wait);
+  }
+}
+
+auto StoreFollower::SetPause(RecordKind kind, Duration pause) -> void {
+  At(kind).SetPause(pause);
 }
 
 auto StoreFollower::Accept(Instant now,
--- a/src/libzinniastep/gateway/store_follower.h
+++ b/src/libzinniastep/gateway/store_follower.h
@@ -1,16 +1,19 @@
 #ifndef LIBZINNIASTEP_GATEWAY_STORE_FOLLOWER_H_
 #define LIBZINNIASTEP_GATEWAY_STORE_FOLLOWER_H_
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
 #include "libzinniastep/base/random.h"
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/gateway_outbox.h"
+#include "libzinniastep/gateway/gateway_settings.h"
 #include "libzinniastep/gateway/kept_records.h"
 #include "libzinniastep/gateway/record_mirror.h"
 #include "libzinniastep/gateway/record_watcher.h"
 #include "libzinniastep/gateway/store_era.h"
+#include "libzinniastep/gateway/watch_pace.h"
 
 namespace zinniastep {
 
@@ -18,8 +21,7 @@
 // store's era. The mirror, the kept records and the outbox must outlive it.
 class StoreFollower {
  public:
-  // A server that leaves must get no more requests after `leaving_time`.
-  StoreFollower(Duration leaving_time,
+  StoreFollower(const GatewaySettings& settings,
                 Random& random,
                 RecordMirror& mirror,
                 KeptRecords& kept,
@@ -29,9 +31,12 @@
   // that have not been completed yet.
   auto StartReads(Instant now, bool may_watch) -> void;
 
-  // Waits at least `pause` after changes of a kind before the next watch, which
-  // ends after `wait` without a change.
-  auto SetPace(RecordKind kind, Duration pause, Duration wait) -> void;
+  // Sets for whom this host reads the store, and its order among the readers of
+  // its region.
+  auto SetReaders(StoreReaders readers, std::size_t order) -> void;
+
+  // Waits at least `pause` after changes of a kind before the next watch.
+  auto SetPause(RecordKind kind, Duration pause) -> void;
 
   // Handles the result of a read. Returns whether the objects changed.
   auto OnRead(Instant now, RecordKind kind, const RecordReadResult& result)
@@ -54,6 +59,8 @@
                     const RecordReadResult& result) -> void;
   [[nodiscard]] auto At(RecordKind kind) -> RecordWatcher&;
 
+  // When a change of each kind has to be in effect.
+  std::array<Duration, kRecordKinds> times_;
   RecordMirror& mirror_;
   KeptRecords& kept_;
   GatewayOutbox& outbox_;
--- a/src/libzinniastep/gateway/store_reader_role.cc
+++ b/src/libzinniastep/gateway/store_reader_role.cc
@@ -1,6 +1,8 @@
 #include "libzinniastep/gateway/store_reader_role.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace zinniastep {
@@ -30,6 +32,17 @@
 
 }  // namespace
 
+auto PlaceOf(const RegionId& region, std::span<const HostIdentity> hosts)
+    -> RegionPlace {
+  std::set<RegionId> regions;
+  for (const HostIdentity& host : hosts) {
+    regions.insert(host.region);
+  }
+  return {static_cast<std::size_t>(
+              std::distance(regions.begin(), regions.lower_bound(region))),
+          regions.size()};
+}
+
 StoreReaderRole::StoreReaderRole(HostId self) : self_(std::move(self)) {}
 
 auto StoreReaderRole::OnStart(Instant now) -> void {
@@ -53,9 +66,11 @@
   }
 }
 
-auto StoreReaderRole::OnHostsChanged(std::size_t hosts, const HostRing& region)
-    -> void {
+auto StoreReaderRole::OnHostsChanged(std::size_t hosts,
+                                     const HostRing& region,
+                                     RegionPlace place) -> void {
   hosts_ = hosts;
+  place_ = place;
   rank_ = region.RankOf(self_, kReaderRankKey, kTakeOverRanks);
 }
 
@@ -84,6 +99,12 @@
   return hosts_ > kSmallFleetHosts;
 }
 
+auto StoreReaderRole::order() const -> std::size_t {
+  return ReadsForOthers() && rank_ >= kReadersPerRegion
+             ? kReadersPerRegion
+             : rank_ * place_.regions + place_.before;
+}
+
 auto StoreReaderRole::FillDigest(Instant now, HostDigest& digest) const
     -> void {
   const bool own_is_newer = own_answer_at_ >= peer_answer_at_;
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -39,6 +39,23 @@
   EXPECT_EQ(parsed.value->repeat_window, std::chrono::seconds(10));
 }
 
+// Without them, changes that the store's watches lose would be found by the
+// pace of another deployment.
+TEST(GatewaySettingsTest, TheTimesOfChangesAreReadOrTheShortestOnes) {
+  const auto parsed = ReadGatewaySettings(kSettings);
+  ASSERT_TRUE(parsed.value.has_value());
+  EXPECT_EQ(parsed.value->configuration_time, std::chrono::milliseconds(2500));
+  EXPECT_EQ(parsed.value->rollback_time, std::chrono::seconds(5));
+  EXPECT_EQ(parsed.value->evacuation_time, std::chrono::seconds(5));
+  const auto stated = ReadGatewaySettings(
+      std::string(R"({"configuration_ms": 4000, "rollback_ms": 6000,)") +
+      R"("evacuation_ms": 7000,)" + (kSettings + 1));
+  ASSERT_TRUE(stated.value.has_value());
+  EXPECT_EQ(stated.value->configuration_time, std::chrono::seconds(4));
+  EXPECT_EQ(stated.value->rollback_time, std::chrono::seconds(6));
+  EXPECT_EQ(stated.value->evacuation_time, std::chrono::seconds(7));
+}
+
 // A host that may hold more than its machine has ends without a word.
 TEST(GatewaySettingsTest, HeldBytesFollowFromTheMemoryUnlessStated) {
   const auto held = [](const std::string& more) {
--- /dev/null
+++ b/tests/gateway/watch_pace_test.cc
@@ -0,0 +1,63 @@
+#include "libzinniastep/gateway/watch_pace.h"
+
+#include <gtest/gtest.h>
+
+namespace zinniastep::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A list of the store, and the way of a change from peer to peer.
+constexpr Duration kList = milliseconds(300);
+constexpr Duration kWayToPeers = milliseconds(1000);
+
+TEST(WatchPace, ALostChangeIsFoundBeforeItHasToBeInEffect) {
+  for (const Duration time : {Duration(milliseconds(2500)),
+                              Duration(seconds(4)), Duration(seconds(9))}) {
+    const WatchPace alone = WatchPaceFor(time, StoreReaders::kAll, 0);
+    EXPECT_LE(alone.longest_wait + alone.slack + kList, time);
+    const WatchPace for_others = WatchPaceFor(time, StoreReaders::kFew, 0);
+    EXPECT_LE(for_others.longest_wait + for_others.slack + kWayToPeers, time);
+  }
+}
+
+TEST(WatchPace, LaterReadersMakeFewCalls) {
+  const Duration time = seconds(4);
+  double calls_per_second = 0.0;
+  for (std::size_t order = 0; order < 16; ++order) {
+    const WatchPace pace = WatchPaceFor(time, StoreReaders::kAll, order);
+    ASSERT_LT(pace.shortest_wait, pace.longest_wait + milliseconds(1));
+    calls_per_second +=
+        1.0 / std::chrono::duration<double>(pace.shortest_wait).count();
+  }
+  const double first =
+      1.0 / std::chrono::duration<double>(
+                WatchPaceFor(time, StoreReaders::kAll, 0).shortest_wait)
+                .count();
+  EXPECT_LE(calls_per_second, 3.0 * first);
+}
+
+TEST(WatchPace, ATimeOfZeroIsNotPolled) {
+  const WatchPace pace = WatchPaceFor(Duration(0), StoreReaders::kAll, 0);
+  EXPECT_GE(pace.shortest_wait, milliseconds(250));
+  EXPECT_GT(pace.slack, Duration(0));
+}
+
+TEST(WatchPace, EachKindHasItsOwnTime) {
+  GatewaySettings settings;
+  settings.configuration_time = milliseconds(1);
+  settings.leaving_time = milliseconds(2);
+  settings.rollback_time = milliseconds(3);
+  settings.evacuation_time = milliseconds(4);
+  EXPECT_EQ(TimeToTakeEffect(settings, RecordKind::kConfiguration),
+            milliseconds(1));
+  EXPECT_EQ(TimeToTakeEffect(settings, RecordKind::kBackendServers),
+            milliseconds(2));
+  EXPECT_EQ(TimeToTakeEffect(settings, RecordKind::kRollouts), milliseconds(3));
+  EXPECT_EQ(TimeToTakeEffect(settings, RecordKind::kEvacuations),
+            milliseconds(4));
+}
+
+}  // namespace
+}  // namespace zinniastep::testing
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -40,6 +40,9 @@
   settings.caller_address = "127.0.0.1:" + std::to_string(5000 + host);
   settings.seeds = {Address(0), Address(1)};
   settings.leaving_time = std::chrono::milliseconds(2500);
+  settings.configuration_time = std::chrono::milliseconds(2500);
+  settings.rollback_time = std::chrono::seconds(5);
+  settings.evacuation_time = std::chrono::seconds(5);
   return settings;
 }
 
@@ -246,6 +249,24 @@
       {revision_, {{name, last.revision, last.content}, true}});
 }
 
+auto GatewayFleet::EndCompaction() -> void {
+  is_compacting_ = false;
+  history_.clear();
+  history_from_ = revision_;
+  for (WaitingWatch& watch : watches_) {
+    watch.is_compacted = true;
+  }
+}
+
+auto GatewayFleet::SilenceWatches() -> void {
+  for (WaitingWatch& watch : watches_) {
+    if (!watch.lost) {
+      watch.lost = true;
+      watch.until += watch.watch.timeout - watch.watch.wait;
+    }
+  }
+}
+
 auto GatewayFleet::TakeCopy() -> void {
   copied_revision_ = revision_;
   copied_objects_ = objects_;
@@ -322,8 +343,7 @@
                         hosts_[host].incarnation,
                         {action.kind, 0, {}, {}},
                         now_ + action.timeout,
-                        true,
-                        false});
+                        true});
     return;
   }
   RecordPage page;
@@ -338,8 +358,9 @@
 auto GatewayFleet::Do(std::size_t host, const WatchRecords& action) -> void {
   ++calls_;
   ++hosts_[host].calls;
-  watches_.push_back({host, hosts_[host].incarnation, action,
-                      now_ + action.wait, false, action.after > revision_});
+  watches_.push_back(
+      {host, hosts_[host].incarnation, action, now_ + action.wait, false,
+       action.after > revision_ || action.after < history_from_});
 }
 
 auto GatewayFleet::AnswerWatches() -> void {
@@ -359,7 +380,13 @@
       Answer(watch.host, watch.watch.kind, ReadFailed{false, true});
       continue;
     }
-    if (watch.gone && !watch.lost) {
+    const bool is_deaf =
+        is_compacting_ || (watch.is_compacted && now_ < watch.until);
+    if (is_deaf && !watch.lost && !watch.gone) {
+      waiting.push_back(watch);
+      continue;
+    }
+    if ((watch.gone || watch.is_compacted) && !watch.lost) {
       Answer(watch.host, watch.watch.kind, HistoryGone{NextEra(watch.host)});
       continue;
     }
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -47,6 +47,15 @@
       -> void;
   auto Remove(RecordKind kind, const std::string& name) -> void;
 
+  // Begins or ends a compaction of the store: while it goes on, waiting watches
+  // hear nothing, and at its end the history is dropped. The watches that
+  // waited then hear of no change any more, and end with lost history once
+  // their wait is over.
+  auto BeginCompaction() -> void { is_compacting_ = true; }
+  auto EndCompaction() -> void;
+  // The watches that wait now get no answer at all; later ones do.
+  auto SilenceWatches() -> void;
+
   // Notes the store's objects and revision, for a later restore.
   auto TakeCopy() -> void;
   // Restores the store from the copy: later writes are lost, revisions are used
@@ -122,6 +131,8 @@
     bool lost = false;
     // The store lost the revision that the watch follows.
     bool gone = false;
+    // The history that the watch waits for was dropped.
+    bool is_compacted = false;
   };
   struct Letter {
     Instant due;
@@ -180,8 +191,11 @@
   std::uint64_t revision_ = 1;
   std::uint64_t era_ = 0;
   bool reports_era_ = true;
+  bool is_compacting_ = false;
   std::map<RecordKind, std::map<std::string, Stored>> objects_;
   std::map<RecordKind, std::vector<Change>> history_;
+  // The first revision from which the history is known.
+  std::uint64_t history_from_ = 0;
   // The copy of the store.
   std::uint64_t copied_revision_ = 0;
   std::map<RecordKind, std::map<std::string, Stored>> copied_objects_;
