Give each region a first reader of the store, and keep readers audible

The first reader of the second region waited twice as long as that of the first one, so that a region whose link to the other was slow heard of a lost change late. Where changes may take long to take effect, the readers' waits grew past the three seconds after which other hosts take over, so that hosts took over from readers that worked.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -389,8 +389,7 @@
   std::ranges::copy_if(
       live, std::back_inserter(region_hosts),
       [this](const HostIdentity& host) { return host.region == self_.region; });
-  reader_role_.OnHostsChanged(live.size(), HostRing(region_hosts),
-                              PlaceOf(self_.region, live));
+  reader_role_.OnHostsChanged(live.size(), HostRing(region_hosts));
   const std::vector<HostIdentity> staying = StayingHosts(membership_);
   const std::vector<HostIdentity> preferred = PreferredFronts(staying);
   fronts_ = FrontsOf(staying, preferred);
--- a/src/libzinniastep/gateway/store_reader_role.cc
+++ b/src/libzinniastep/gateway/store_reader_role.cc
@@ -1,8 +1,6 @@
 #include "libzinniastep/gateway/store_reader_role.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 #include <utility>
 
 namespace zinniastep {
@@ -32,17 +30,6 @@
 
 }  // namespace
 
-auto PlaceOf(const RegionId& region, std::span<const HostIdentity> hosts)
-    -> RegionPlace {
-  std::set<RegionId> regions;
-  for (const HostIdentity& host : hosts) {
-    regions.insert(host.region);
-  }
-  return {static_cast<std::size_t>(
-              std::distance(regions.begin(), regions.lower_bound(region))),
-          regions.size()};
-}
-
 StoreReaderRole::StoreReaderRole(HostId self) : self_(std::move(self)) {}
 
 auto StoreReaderRole::OnStart(Instant now) -> void {
@@ -66,11 +53,9 @@
   }
 }
 
-auto StoreReaderRole::OnHostsChanged(std::size_t hosts,
-                                     const HostRing& region,
-                                     RegionPlace place) -> void {
+auto StoreReaderRole::OnHostsChanged(std::size_t hosts, const HostRing& region)
+    -> void {
   hosts_ = hosts;
-  place_ = place;
   rank_ = region.RankOf(self_, kReaderRankKey, kTakeOverRanks);
 }
 
@@ -100,9 +85,7 @@
 }
 
 auto StoreReaderRole::order() const -> std::size_t {
-  return ReadsForOthers() && rank_ >= kReadersPerRegion
-             ? kReadersPerRegion
-             : rank_ * place_.regions + place_.before;
+  return ReadsForOthers() ? std::min(rank_, kReadersPerRegion) : rank_;
 }
 
 auto StoreReaderRole::FillDigest(Instant now, HostDigest& digest) const
--- a/src/libzinniastep/gateway/store_reader_role.h
+++ b/src/libzinniastep/gateway/store_reader_role.h
@@ -3,26 +3,14 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <span>
 
 #include "libzinniastep/base/ids.h"
 #include "libzinniastep/base/time.h"
-#include "libzinniastep/core/host_identity.h"
 #include "libzinniastep/gateway/host_ring.h"
 #include "libzinniastep/gateway/messages.h"
 
 namespace zinniastep {
 
-// The place of a region among all with live hosts, by name.
-struct RegionPlace {
-  std::size_t before = 0;
-  std::size_t regions = 1;
-};
-
-// Returns the place of a region among those of the hosts.
-[[nodiscard]] auto PlaceOf(const RegionId& region,
-                           std::span<const HostIdentity> hosts) -> RegionPlace;
-
 // Decides whether this host reads the store or receives its records from peers
 // that do. The decision depends on which host got the latest answer from the
 // store. In a larger fleet some hosts of each region read for all, so that the
@@ -38,11 +26,8 @@
   // A peer reported which host got the latest answer from the store, and how
   // long ago.
   auto OnDigest(Instant now, const HostDigest& digest) -> void;
-  // Sets the number of live hosts, the ring of those in this host's region, and
-  // this region's place among the regions with live hosts.
-  auto OnHostsChanged(std::size_t hosts,
-                      const HostRing& region,
-                      RegionPlace place = {}) -> void;
+  // Sets the number of live hosts and the ring of those in this host's region.
+  auto OnHostsChanged(std::size_t hosts, const HostRing& region) -> void;
 
   // Returns whether this host should read the store. `has_all_kinds` is whether
   // it has records of each kind; a starting host requests these from its peers
@@ -55,9 +40,8 @@
 
   // Returns whether the fleet is so large that readers read for other hosts.
   [[nodiscard]] auto ReadsForOthers() const -> bool;
-  // Returns how many hosts that read the store rank before this one, in turn of
-  // the regions. Hosts that took over from the readers are not counted, and
-  // share one place behind the first.
+  // Returns how many of the region's hosts that read the store rank before this
+  // one. Hosts that took over share the place behind the region's readers.
   [[nodiscard]] auto order() const -> std::size_t;
   // Returns whether another host of the region ranks before this one.
   [[nodiscard]] auto IsStandby() const -> bool { return rank_ > 0; }
@@ -74,7 +58,6 @@
   Instant peer_answer_at_;
   std::size_t hosts_ = 1;
   std::size_t rank_ = 0;
-  RegionPlace place_;
 };
 
 }  // namespace zinniastep
--- a/src/libzinniastep/gateway/watch_pace.cc
+++ b/src/libzinniastep/gateway/watch_pace.cc
@@ -24,11 +24,18 @@
 constexpr Duration kLeastWait = std::chrono::milliseconds(250);
 constexpr Duration kMostWait = std::chrono::seconds(20);
 constexpr std::size_t kMostDoublings = 8;
+// Where few hosts read for all, their answers also tell that the store is
+// there, and other hosts take over after three seconds without one.
+constexpr Duration kMostWaitForOthers = std::chrono::seconds(2);
 
-auto Part(Duration time, double part, std::size_t order) -> Duration {
-  const auto wait = std::chrono::duration_cast<Duration>(time * part) *
-                    (std::int64_t{1} << std::min(order, kMostDoublings));
-  return std::clamp<Duration>(wait, kLeastWait, kMostWait);
+auto Doubled(Duration wait, std::size_t order) -> Duration {
+  return std::clamp<Duration>(
+      wait * (std::int64_t{1} << std::min(order, kMostDoublings)), kLeastWait,
+      kMostWait);
+}
+
+auto Part(Duration time, double part) -> Duration {
+  return std::chrono::duration_cast<Duration>(time * part);
 }
 
 }  // namespace
@@ -50,11 +57,17 @@
 
 auto WatchPaceFor(Duration time, StoreReaders readers, std::size_t order)
     -> WatchPace {
-  const bool is_alone = readers == StoreReaders::kAll;
-  return {Part(time, is_alone ? kShortestAlone : kShortestForOthers, order),
-          Part(time, is_alone ? kLongestAlone : kLongestForOthers, order),
-          std::clamp(std::chrono::duration_cast<Duration>(time * kSlack),
-                     kLeastSlack, kMostSlack)};
+  const Duration slack =
+      std::clamp(Part(time, kSlack), kLeastSlack, kMostSlack);
+  if (readers == StoreReaders::kAll) {
+    return {Doubled(Part(time, kShortestAlone), order),
+            Doubled(Part(time, kLongestAlone), order), slack};
+  }
+  const Duration longest =
+      std::min(Part(time, kLongestForOthers), kMostWaitForOthers);
+  const Duration shortest =
+      std::min(Part(time, kShortestForOthers), kMostWaitForOthers / 2);
+  return {Doubled(shortest, order), Doubled(longest, order), slack};
 }
 
 }  // namespace zinniastep
--- a/tests/gateway/watch_pace_test.cc
+++ b/tests/gateway/watch_pace_test.cc
@@ -22,6 +22,15 @@
   }
 }
 
+// Other hosts read the store after three seconds without a reader's answer.
+TEST(WatchPace, ReadersForOthersAreHeardBeforeOthersTakeOver) {
+  for (const Duration time : {Duration(seconds(4)), Duration(seconds(60))}) {
+    const WatchPace pace = WatchPaceFor(time, StoreReaders::kFew, 0);
+    EXPECT_LE(pace.longest_wait, seconds(2));
+    EXPECT_LE(pace.shortest_wait, pace.longest_wait);
+  }
+}
+
 TEST(WatchPace, LaterReadersMakeFewCalls) {
   const Duration time = seconds(4);
   double calls_per_second = 0.0;
