Ask the store at the short pace from every host of a small fleet

Where the store turned some hosts away, callers of the others were served by an older configuration for longer than before the pace followed from the bounds: hosts waited the longer the later they ranked, and a host that is turned away keeps its rank.

Readers for others keep their order.

Also: a standby's pause ends when the fleet shrinks, and a watch that was given up is not logged as lost.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -127,13 +127,14 @@
   }
   const bool may_watch = reader_role_.IsSettled(now);
   const bool for_others = may_watch && reader_role_.ReadsForOthers();
-  store_.SetReaders(for_others ? StoreReaders::kFew : StoreReaders::kAll,
-                    reader_role_.order());
   if (for_others) {
-    store_.SetPause(RecordKind::kBackendServers, reader_role_.IsStandby()
-                                                     ? kStandbyBatchPause
-                                                     : Duration(0));
+    store_.ReadForOthers(reader_role_.order());
+  } else {
+    store_.ReadForSelf();
   }
+  store_.SetPause(RecordKind::kBackendServers,
+                  for_others && reader_role_.IsStandby() ? kStandbyBatchPause
+                                                         : Duration(0));
   store_.StartReads(now, may_watch);
 }
 
--- a/src/libzinniastep/gateway/record_mirror.h
+++ b/src/libzinniastep/gateway/record_mirror.h
@@ -151,7 +151,8 @@
 
   [[nodiscard]] auto Digest(RecordKind kind) const -> RecordDigest;
 
-  // Returns whether the digest is of an older state than the one held.
+  // Returns whether the digest is of an older and different state than the one
+  // held.
   [[nodiscard]] auto IsOlder(RecordKind kind, const RecordDigest& digest) const
       -> bool;
   [[nodiscard]] auto Snapshot(RecordKind kind) const -> RecordSnapshot;
--- a/src/libzinniastep/gateway/record_watcher.h
+++ b/src/libzinniastep/gateway/record_watcher.h
@@ -11,6 +11,7 @@
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/record_mirror.h"
 #include "libzinniastep/gateway/store_era.h"
+#include "libzinniastep/gateway/watch_pace.h"
 
 namespace zinniastep {
 
@@ -115,10 +116,10 @@
   // Waits at least `pause` after changes before the next watch.
   auto SetPause(Duration pause) -> void { least_pause_ = pause; }
 
-  // Sets between which times the next watches end without a change.
-  auto SetWaits(Duration shortest, Duration longest) -> void {
-    limits_.shortest_wait = shortest;
-    limits_.longest_wait = longest;
+  // Sets how long the next watches wait.
+  auto SetWaits(const WatchPace& pace) -> void {
+    limits_.shortest_wait = pace.shortest_wait;
+    limits_.longest_wait = pace.longest_wait;
   }
 
   // Handles the result of the current read, which is of the store's era `era`.
@@ -135,6 +136,10 @@
   // ignored.
   auto OnEra(Instant now, std::uint64_t era) -> void;
 
+  // Returns whether the result is that of a watch which was given up, or of a
+  // list that was read twice.
+  [[nodiscard]] auto IsStray(const RecordReadResult& result) const -> bool;
+
   // Returns whether the current read is a watch that follows a list of the era.
   [[nodiscard]] auto IsWatchOf(std::uint64_t era) const -> bool {
     return !listing_ && era == era_;
@@ -155,9 +160,6 @@
   auto Take(Instant now, const RecordPage& page, std::uint64_t era)
       -> std::optional<RecordSnapshot>;
   auto ListAgain(Instant now) -> void;
-  // Whether the result is that of a watch which was given up, or of a list that
-  // was read twice.
-  [[nodiscard]] auto IsStray(const RecordReadResult& result) const -> bool;
   auto Pause(Instant now) -> void;
 
   RecordKind kind_;
--- a/src/libzinniastep/gateway/store_follower.cc
+++ b/src/libzinniastep/gateway/store_follower.cc
@@ -31,8 +31,7 @@
   for (std::size_t index = 0; index < kRecordKinds; ++index) {
     const auto kind = static_cast<RecordKind>(index);
     times_.at(index) = TimeToTakeEffect(settings, kind);
-    const WatchPace pace =
-        WatchPaceFor(times_.at(index), StoreReaders::kAll, 0);
+    const WatchPace pace = PaceForSelf(times_.at(index));
     WatcherLimits limits;
     limits.shortest_wait = pace.shortest_wait;
     limits.longest_wait = pace.longest_wait;
@@ -56,11 +55,15 @@
   }
 }
 
-auto StoreFollower::SetReaders(StoreReaders readers, std::size_t order)
-    -> void {
+auto StoreFollower::ReadForSelf() -> void {
   for (std::size_t kind = 0; kind < kRecordKinds; ++kind) {
-    const WatchPace pace = WatchPaceFor(times_.at(kind), readers, order);
-    watchers_.at(kind).SetWaits(pace.shortest_wait, pace.longest_wait);
+    watchers_.at(kind).SetWaits(PaceForSelf(times_.at(kind)));
+  }
+}
+
+auto StoreFollower::ReadForOthers(std::size_t order) -> void {
+  for (std::size_t kind = 0; kind < kRecordKinds; ++kind) {
+    watchers_.at(kind).SetWaits(PaceForOthers(times_.at(kind), order));
   }
 }
 
@@ -93,6 +96,9 @@
 auto StoreFollower::LogLostWatch(Instant now,
                                  RecordKind kind,
                                  const RecordReadResult& result) -> void {
+  if (At(kind).IsStray(result)) {
+    return;
+  }
   const auto log = [&](std::string_view reason) {
     outbox_.Log(
         "store_watch_lost",
--- a/src/libzinniastep/gateway/store_follower.h
+++ b/src/libzinniastep/gateway/store_follower.h
@@ -31,9 +31,10 @@
   // that have not been completed yet.
   auto StartReads(Instant now, bool may_watch) -> void;
 
-  // Sets for whom this host reads the store, and its order among the readers of
-  // its region.
-  auto SetReaders(StoreReaders readers, std::size_t order) -> void;
+  // Sets whether this host reads the store for itself alone, or for others too
+  // and how many readers of its region rank before it.
+  auto ReadForSelf() -> void;
+  auto ReadForOthers(std::size_t order) -> void;
 
   // Waits at least `pause` after changes of a kind before the next watch.
   auto SetPause(RecordKind kind, Duration pause) -> void;
--- a/src/libzinniastep/gateway/store_reader_role.cc
+++ b/src/libzinniastep/gateway/store_reader_role.cc
@@ -21,7 +21,7 @@
 // When no peer has got a store answer for this long, the next host in rank
 // reads the store itself, and one more host after each step: the store may
 // reject all readers, or they may be cut off. The timeout is longer than a
-// reader's watch plus the delivery of its answer.
+// first reader's watch plus the delivery of its answer.
 constexpr Duration kReaderTimeout = std::chrono::seconds(3);
 constexpr Duration kTakeOverStep = std::chrono::milliseconds(150);
 constexpr std::size_t kTakeOverRanks = 40;
@@ -85,7 +85,7 @@
 }
 
 auto StoreReaderRole::order() const -> std::size_t {
-  return ReadsForOthers() ? std::min(rank_, kReadersPerRegion) : rank_;
+  return std::min(rank_, kReadersPerRegion);
 }
 
 auto StoreReaderRole::FillDigest(Instant now, HostDigest& digest) const
--- a/src/libzinniastep/gateway/store_reader_role.h
+++ b/src/libzinniastep/gateway/store_reader_role.h
@@ -40,8 +40,8 @@
 
   // Returns whether the fleet is so large that readers read for other hosts.
   [[nodiscard]] auto ReadsForOthers() const -> bool;
-  // Returns how many of the region's hosts that read the store rank before this
-  // one. Hosts that took over share the place behind the region's readers.
+  // Returns how many of the region's readers rank before this one, where some
+  // read for others. Hosts that took over share the place behind the readers.
   [[nodiscard]] auto order() const -> std::size_t;
   // Returns whether another host of the region ranks before this one.
   [[nodiscard]] auto IsStandby() const -> bool { return rank_ > 0; }
--- a/src/libzinniastep/gateway/watch_pace.h
+++ b/src/libzinniastep/gateway/watch_pace.h
@@ -2,7 +2,6 @@
 #define LIBZINNIASTEP_GATEWAY_WATCH_PACE_H_
 
 #include <cstddef>
-#include <cstdint>
 
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/gateway/gateway_settings.h"
@@ -10,14 +9,6 @@
 
 namespace zinniastep {
 
-// For whom a host reads the store.
-enum class StoreReaders : std::uint8_t {
-  // Each host of the fleet reads for itself.
-  kAll,
-  // A few hosts read for all.
-  kFew,
-};
-
 // How long a host waits for news of the store before it asks again. All times
 // follow from the time after which a change has to be in effect, so that one
 // whose event or answer was lost still is in effect by then.
@@ -32,14 +23,14 @@
 [[nodiscard]] auto TimeToTakeEffect(const GatewaySettings& settings,
                                     RecordKind kind) -> Duration;
 
-// Returns the pace for changes that have to be in effect after `time`. The
-// first reader of a region, of order zero, finds a lost change in time for all.
-// Each next one waits twice as long, so that the number of calls hardly grows
-// with that of the readers; it takes the first place when the hosts before it
-// are gone.
-[[nodiscard]] auto WatchPaceFor(Duration time,
-                                StoreReaders readers,
-                                std::size_t order) -> WatchPace;
+// Returns the pace of a host that reads the store for itself, for changes that
+// have to be in effect after `time`. It relies on no other host.
+[[nodiscard]] auto PaceForSelf(Duration time) -> WatchPace;
+
+// Returns the pace of a host that reads the store for others too. The first
+// reader of a region, of order zero, finds a lost change in time for all. Each
+// next one waits twice as long.
+[[nodiscard]] auto PaceForOthers(Duration time, std::size_t order) -> WatchPace;
 
 }  // namespace zinniastep
 
