Log requests for records, their answers, and threads that were held up

Callers lost answers beside growths of the configuration. The log did not say how often a host asks its peers for records, how many bytes it sends them, or whether a host that holds others for lost was itself held up, so that four hypotheses looked alike.

The exchange of records leaves GatewayCore, which had no room for them, for a class of its own.

--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -1,7 +1,6 @@
 #include "libzinniastep/gateway/gateway_core.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "libzinniastep/base/overloaded.h"
@@ -13,10 +12,6 @@
 
 namespace {
 
-constexpr std::array<RecordKind, kRecordKinds> kAllKinds = {
-    RecordKind::kConfiguration, RecordKind::kBackendServers,
-    RecordKind::kRollouts, RecordKind::kEvacuations};
-
 // A lapsed entry is kept for the time that the platform needs to list live
 // servers again, but shorter than the leaving time by the reserve.
 constexpr Duration kLapsedEntryGrace = std::chrono::milliseconds(2000);
@@ -70,6 +65,7 @@
         return operators_.ConfigurationVersion(record);
       }),
       store_(settings, random_, mirror_, kept_, outbox_),
+      exchange_(mirror_, kept_, outbox_),
       rollouts_(self_.host, ring_, outbox_),
       registration_(outbox_) {}
 
@@ -86,7 +82,7 @@
   if (roster_.Expire(now)) {
     dirty_ = true;
   }
-  RequestNewerStates(now);
+  exchange_.SendRequests(now, ReadsStore(now));
   SendPeriodicDigest(now);
   if (rollouts_.OnTime(now)) {
     OnSplitChanged(now);
@@ -98,18 +94,13 @@
 }
 
 auto GatewayCore::HasAllKinds() const -> bool {
-  return std::ranges::all_of(
-      kAllKinds, [this](RecordKind kind) { return mirror_.IsKnown(kind); });
+  return std::ranges::all_of(kAllRecordKinds, [this](RecordKind kind) {
+    return mirror_.IsKnown(kind);
+  });
 }
 
-// All starting hosts join through the same few peers, and any other peer has
-// the records as well, so the request goes to a random one.
-auto GatewayCore::RequestMissingKinds() -> void {
-  for (const RecordKind kind : kAllKinds) {
-    if (!mirror_.IsKnown(kind)) {
-      outbox_.SendToRandomPeers(1, RecordsRequest{kind, 0});
-    }
-  }
+auto GatewayCore::ReadsStore(Instant now) const -> bool {
+  return reader_role_.ShouldRead(now, HasAllKinds());
 }
 
 auto GatewayCore::Register(Instant now) -> void {
@@ -122,7 +113,7 @@
 }
 
 auto GatewayCore::StartReads(Instant now) -> void {
-  if (!reader_role_.ShouldRead(now, HasAllKinds())) {
+  if (!ReadsStore(now)) {
     return;
   }
   const bool may_watch = reader_role_.IsSettled(now);
@@ -147,6 +138,7 @@
     reader_role_.OnStoreAnswer(now);
   }
   if (changed) {
+    exchange_.OnReceived(kind);
     ApplyRecords(now, kind, kFromStore);
     outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
   }
@@ -157,7 +149,6 @@
 auto GatewayCore::ApplyRecords(Instant now,
                                RecordKind kind,
                                std::string_view source) -> void {
-  peer_fetches_.OnReceived(kind);
   dirty_ = true;
   const StorePosition as_of = mirror_.Digest(kind).as_of;
   const bool is_restored =
@@ -223,7 +214,7 @@
           [&](const MembershipMessage& specific) {
             membership_.OnMessage(now, from, specific, membership_effects_);
             if (std::holds_alternative<SyncReply>(specific)) {
-              RequestMissingKinds();
+              exchange_.RequestMissingKinds();
             }
           },
           [&](const GatewayMessage& specific) {
@@ -251,11 +242,11 @@
   }
   reader_role_.OnDigest(now, digest);
   bool is_behind = false;
-  for (const RecordKind kind : kAllKinds) {
+  for (const RecordKind kind : kAllRecordKinds) {
     const RecordDigest& state = digest.kinds.at(static_cast<std::size_t>(kind));
     store_.OnPeerEra(now, state.as_of.era);
     if (mirror_.IsNewer(kind, state)) {
-      peer_fetches_.OnNewerState(now, kind, from, IsInOwnRegion(from));
+      exchange_.OnNewerState(now, kind, from, IsInOwnRegion(from));
     }
     is_behind = is_behind || mirror_.IsOlder(kind, state);
   }
@@ -263,84 +254,41 @@
     next_digest_reply_ = now + kDigestReplyPause;
     outbox_.Send(from, Digest(now));
   }
-  RequestNewerStates(now);
+  exchange_.SendRequests(now, ReadsStore(now));
 }
 
 auto GatewayCore::Handle(Instant /*now*/,
                          const PeerRef& from,
                          const RecordsRequest& request) -> void {
-  if (static_cast<std::size_t>(request.kind) >= kRecordKinds ||
-      !mirror_.IsKnown(request.kind) ||
-      mirror_.Digest(request.kind).as_of <= request.as_of) {
-    return;
-  }
-  if (auto delta = mirror_.ChangesSince(request.kind, request.as_of)) {
-    outbox_.Send(from, *std::move(delta));
-  } else {
-    RecordSnapshot snapshot = mirror_.Snapshot(request.kind);
-    snapshot.kept = kept_.kept(request.kind);
-    outbox_.Send(from, std::move(snapshot));
-  }
+  exchange_.OnRequest(from, request);
 }
 
 auto GatewayCore::Handle(Instant now,
                          const PeerRef& from,
                          const RecordSnapshot& snapshot) -> void {
-  if (static_cast<std::size_t>(snapshot.kind) >= kRecordKinds) {
-    return;
-  }
-  if (mirror_.IsKnown(snapshot.kind) &&
-      snapshot.as_of < mirror_.Digest(snapshot.kind).as_of) {
-    // The peer is behind; a newer state is still to come.
-    return;
-  }
-  const bool is_replaced = mirror_.Replace(snapshot);
-  const bool changed = kept_.Offer(snapshot.kind, snapshot.kept) || is_replaced;
+  const ExchangeResult result = exchange_.OnSnapshot(from, snapshot);
   store_.OnPeerEra(now, snapshot.as_of.era);
-  peer_fetches_.OnReceived(snapshot.kind);
-  if (changed) {
-    outbox_.Log("records_from_peer",
-                {{"peer", from.host.text()},
-                 {"kind", std::to_string(static_cast<int>(snapshot.kind))},
-                 {"as_of", snapshot.as_of.text()}});
-    ApplyRecords(now, snapshot.kind, from.host.text());
-    outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
-  }
+  OnExchanged(now, snapshot.kind, from, result);
 }
 
 auto GatewayCore::Handle(Instant now,
                          const PeerRef& from,
                          const RecordDelta& delta) -> void {
-  if (static_cast<std::size_t>(delta.kind) >= kRecordKinds) {
-    return;
-  }
-  const DeltaOutcome outcome = mirror_.Apply(delta);
-  if (outcome != DeltaOutcome::kUnchanged) {
-    for (const std::string& name : delta.removed) {
-      kept_.OnRemoved(delta.kind, name);
-    }
-  }
-  peer_fetches_.OnReceived(delta.kind);
-  if (outcome == DeltaOutcome::kUnchanged) {
-    return;
-  }
-  outbox_.Log("changes_from_peer",
-              {{"peer", from.host.text()},
-               {"kind", std::to_string(static_cast<int>(delta.kind))},
-               {"from", delta.from.text()},
-               {"as_of", delta.as_of.text()},
-               {"records", std::to_string(delta.records.size())},
-               {"removed", std::to_string(delta.removed.size())},
-               {"fits", outcome == DeltaOutcome::kChanged ? "yes" : "no"}});
-  if (mirror_.IsKnown(delta.kind)) {
-    ApplyRecords(now, delta.kind, from.host.text());
+  OnExchanged(now, delta.kind, from, exchange_.OnDelta(now, from, delta));
+}
+
+auto GatewayCore::OnExchanged(Instant now,
+                              RecordKind kind,
+                              const PeerRef& from,
+                              const ExchangeResult& result) -> void {
+  if (result.changed) {
+    ApplyRecords(now, kind, from.host.text());
   }
-  if (outcome == DeltaOutcome::kMismatch) {
-    peer_fetches_.OnDeltaMismatch(now, delta.kind, from);
-    RequestNewerStates(now);
-    return;
+  if (!result.complete) {
+    exchange_.SendRequests(now, ReadsStore(now));
+  } else if (result.changed) {
+    outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
   }
-  outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
 }
 
 auto GatewayCore::Handle(Instant now,
@@ -404,20 +352,6 @@
   return host == nullptr || host->region == self_.region;
 }
 
-auto GatewayCore::RequestNewerStates(Instant now) -> void {
-  for (const PeerFetchScheduler::Fetch& fetch : peer_fetches_.TakeDue(
-           now, reader_role_.ShouldRead(now, HasAllKinds()))) {
-    const StorePosition as_of =
-        fetch.full_state ? StorePosition() : mirror_.Digest(fetch.kind).as_of;
-    const RecordsRequest request{fetch.kind, as_of};
-    outbox_.Send(fetch.peer, request);
-    if (fetch.is_retry) {
-      // The peer may be gone, and no peer reports again a state that all have.
-      outbox_.SendToRandomPeers(1, request);
-    }
-  }
-}
-
 auto GatewayCore::SendPeriodicDigest(Instant now) -> void {
   if (now < next_digest_) {
     return;
@@ -428,7 +362,7 @@
 
 auto GatewayCore::Digest(Instant now) const -> HostDigest {
   HostDigest digest;
-  for (const RecordKind kind : kAllKinds) {
+  for (const RecordKind kind : kAllRecordKinds) {
     digest.kinds.at(static_cast<std::size_t>(kind)) = mirror_.Digest(kind);
   }
   reader_role_.FillDigest(now, digest);
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -24,8 +24,8 @@
 #include "libzinniastep/gateway/kept_records.h"
 #include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/gateway/operator_records.h"
-#include "libzinniastep/gateway/peer_fetch_scheduler.h"
 #include "libzinniastep/gateway/record_decoders.h"
+#include "libzinniastep/gateway/record_exchange.h"
 #include "libzinniastep/gateway/record_mirror.h"
 #include "libzinniastep/gateway/record_watcher.h"
 #include "libzinniastep/gateway/restored_rollouts.h"
@@ -84,12 +84,16 @@
   auto ApplyRecords(Instant now, RecordKind kind, std::string_view source)
       -> void;
   [[nodiscard]] auto HasAllKinds() const -> bool;
-  // Requests from peers the kinds of which this host has no records yet.
-  auto RequestMissingKinds() -> void;
+  // Whether this host reads the store itself at present.
+  [[nodiscard]] auto ReadsStore(Instant now) const -> bool;
   auto Register(Instant now) -> void;
   auto StartReads(Instant now) -> void;
   auto SendPeriodicDigest(Instant now) -> void;
-  auto RequestNewerStates(Instant now) -> void;
+  // Updates what follows from records of a peer, and tells other peers.
+  auto OnExchanged(Instant now,
+                   RecordKind kind,
+                   const PeerRef& from,
+                   const ExchangeResult& result) -> void;
   // Marks the view as outdated and sends a digest to peers after a change of a
   // roll-out's split.
   auto OnSplitChanged(Instant now) -> void;
@@ -136,12 +140,12 @@
   std::vector<FrontAddress> fronts_;
   StoreReaderRole reader_role_;
   RecordMirror mirror_;
-  PeerFetchScheduler peer_fetches_;
   BackendListing listing_;
   BackendRoster roster_;
   OperatorRecords operators_;
   KeptRecords kept_;
   StoreFollower store_;
+  RecordExchange exchange_;
   RestoredRollouts restored_rollouts_;
   RolloutCoordinator rollouts_;
   HostRegistration registration_;
--- a/src/libzinniastep/gateway/record_mirror.h
+++ b/src/libzinniastep/gateway/record_mirror.h
@@ -23,6 +23,9 @@
   kEvacuations,
 };
 inline constexpr std::size_t kRecordKinds = 4;
+inline constexpr std::array<RecordKind, kRecordKinds> kAllRecordKinds = {
+    RecordKind::kConfiguration, RecordKind::kBackendServers,
+    RecordKind::kRollouts, RecordKind::kEvacuations};
 
 // One object of the store, not yet decoded.
 struct StoredRecord {
--- a/src/libzinniastep/traffic/forwarder_outcome.cc
+++ b/src/libzinniastep/traffic/forwarder_outcome.cc
@@ -81,6 +81,7 @@
         {"status", std::to_string(head_at_ ? head_.result_int() : 0)},
         {"after_ms", std::to_string(Milliseconds(now - sent_at_))},
         {"silent_ms", std::to_string(Milliseconds(now - last_bytes_))},
+        {"left_ms", std::to_string(Milliseconds(progress_.deadline - now))},
         {"events", std::to_string(events_passed_)},
         {"parts", outcome == SendOutcome::kBroken ? ToText(crash_parts_)
                                                   : std::string()},
--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -25,6 +25,9 @@
 constexpr Duration kLongestUnready = std::chrono::milliseconds(800);
 constexpr Duration kTrafficTick = std::chrono::milliseconds(250);
 constexpr Duration kReportTick = std::chrono::milliseconds(100);
+// A tick that is late by more than this shows that the thread or the whole
+// process was held up.
+constexpr Duration kLateTick = std::chrono::milliseconds(200);
 constexpr Duration kCrashSummaryPeriod = std::chrono::seconds(1);
 // After the signal callers learn from the directory that this host leaves;
 // until then it takes new connections.
@@ -173,7 +176,29 @@
   traffic_thread_ = std::thread([this] { traffic_io_.run(); });
 }
 
+auto GatewayDaemon::NoteTick(std::string_view thread,
+                             Duration period,
+                             Instant& last) -> void {
+  const Instant now = SteadyInstant();
+  const Duration late = now - last - period;
+  if (last != Instant() && late > kLateTick) {
+    const TransportCounts counts = peers_->counts();
+    Write(
+        {"thread_held_up",
+         {{"thread", std::string(thread)},
+          {"late_ms",
+           std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(late)
+                   .count())},
+          {"peer_bytes_sent", std::to_string(counts.sent_bytes)},
+          {"peer_bytes_received", std::to_string(counts.received_bytes)},
+          {"peer_connections_lost", std::to_string(counts.lost_connections)}}});
+  }
+  last = now;
+}
+
 auto GatewayDaemon::TickControl() -> void {
+  NoteTick("control", kControlTick, last_control_tick_);
   control_timer_.expires_after(kControlTick);
   control_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
@@ -185,6 +210,7 @@
 }
 
 auto GatewayDaemon::TickTraffic() -> void {
+  NoteTick("traffic", kTrafficTick, last_traffic_tick_);
   traffic_timer_.expires_after(kTrafficTick);
   traffic_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
--- a/src/libzinniastep/traffic/gateway_daemon.h
+++ b/src/libzinniastep/traffic/gateway_daemon.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -78,6 +79,9 @@
 
   auto Listen() -> absl::Status;
   auto Run() -> void;
+  // Logs a tick that comes late. `last` is the time of the tick before.
+  auto NoteTick(std::string_view thread, Duration period, Instant& last)
+      -> void;
   auto TickControl() -> void;
   auto TickTraffic() -> void;
   auto TickReports() -> void;
@@ -113,6 +117,8 @@
   boost::asio::steady_timer traffic_timer_;
   boost::asio::steady_timer report_timer_;
   std::chrono::steady_clock::time_point next_crash_summary_;
+  Instant last_control_tick_;
+  Instant last_traffic_tick_;
   GatewayCore core_;
   TrafficEngine engine_;
   OperatorPage operator_page_;
