Send records to peers compressed, and repeat requests for them less often

The cause: the configuration is one object, which went whole over each hop, 0.84 s for 1 MB on a link of 10 Mbit/s. A host without an answer after 400 ms asked again, and one more peer each time, so that each host was sent several copies, all of them late. The load kept itself up after its cause was gone: 20 s after the last of five changes 2,700 hosts were held for lost in four seconds, and sends to sound servers found no connection within 350 ms.

Requests for records now name long contents that the host holds, and the answer is compressed with the newest one that both have as its prefix (zstd), once for all hosts in the same state. An unanswered request goes to one peer at a time and waits twice as long from the third time on; a host without any state makes one request at a time, too. Hosts of releases that do not compress get a plain request in the end, and their own are answered as before.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,7 +16,7 @@
     -fsanitize=fuzzer,address,undefined -Isrc -I. "tests/fuzz/$name.cc" "$@" \
     src/libzinniastep/base/*.cc -o "$out/$name" \
     -labsl_status -labsl_statusor -labsl_strings -labsl_cord \
-    -labsl_throw_delegate -lcrypto -lxxhash
+    -labsl_throw_delegate -lcrypto -lxxhash -lzstd
   ASAN_OPTIONS=allocator_may_return_null=1 \
     "$out/$name" -artifact_prefix="$out/" -runs="$runs" -seed=7 -max_len=4096 \
     -rss_limit_mb=2048 -print_final_stats=1
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,7 @@
   libclang-rt-14-dev gnuplot-nox valgrind curl
   libpistache-dev libcereal-dev libboost-dev libboost-log-dev
   libdocopt-dev libabsl-dev libcurl4-openssl-dev libssl-dev
-  nlohmann-json3-dev libxxhash-dev librapidcheck-dev libgtest-dev
+  nlohmann-json3-dev libxxhash-dev libzstd-dev librapidcheck-dev libgtest-dev
   libbenchmark-dev
 )
 
--- a/src/libzinniastep/gateway/gateway_core.cc
+++ b/src/libzinniastep/gateway/gateway_core.cc
@@ -138,7 +138,7 @@
     reader_role_.OnStoreAnswer(now);
   }
   if (changed) {
-    exchange_.OnReceived(kind);
+    exchange_.OnRead(kind);
     ApplyRecords(now, kind, kFromStore);
     outbox_.SendToRandomPeers(kChangeFanOut, Digest(now));
   }
@@ -214,7 +214,8 @@
           [&](const MembershipMessage& specific) {
             membership_.OnMessage(now, from, specific, membership_effects_);
             if (std::holds_alternative<SyncReply>(specific)) {
-              exchange_.RequestMissingKinds();
+              exchange_.RequestMissingKinds(now);
+              exchange_.SendRequests(now, ReadsStore(now));
             }
           },
           [&](const GatewayMessage& specific) {
@@ -263,6 +264,23 @@
   exchange_.OnRequest(from, request);
 }
 
+auto GatewayCore::Handle(Instant /*now*/,
+                         const PeerRef& from,
+                         const PackedRecordsRequest& request) -> void {
+  exchange_.OnRequest(from, request);
+}
+
+auto GatewayCore::Handle(Instant now,
+                         const PeerRef& from,
+                         const PackedRecords& packed) -> void {
+  if (const auto answer = exchange_.Unpack(now, from, packed)) {
+    std::visit([&](const auto& specific) { Handle(now, from, specific); },
+               *answer);
+  } else {
+    exchange_.SendRequests(now, ReadsStore(now));
+  }
+}
+
 auto GatewayCore::Handle(Instant now,
                          const PeerRef& from,
                          const RecordSnapshot& snapshot) -> void {
--- a/src/libzinniastep/gateway/gateway_core.h
+++ b/src/libzinniastep/gateway/gateway_core.h
@@ -115,6 +115,11 @@
       -> void;
   auto Handle(Instant now, const PeerRef& from, const RecordDelta& delta)
       -> void;
+  auto Handle(Instant now,
+              const PeerRef& from,
+              const PackedRecordsRequest& request) -> void;
+  auto Handle(Instant now, const PeerRef& from, const PackedRecords& packed)
+      -> void;
   auto Handle(Instant now, const PeerRef& from, const OwnEvidence& evidence)
       -> void;
   auto Handle(Instant now, const PeerRef& from, const VersionFault& fault)
--- a/src/libzinniastep/gateway/messages.h
+++ b/src/libzinniastep/gateway/messages.h
@@ -46,6 +46,33 @@
   }
 };
 
+// Requests the receiver's state of one kind in compressed form.
+struct PackedRecordsRequest {
+  RecordKind kind = RecordKind::kConfiguration;
+  // As in RecordsRequest.
+  StorePosition as_of;
+  // Hashes of contents that the sender holds, as prefixes of the compression.
+  std::vector<std::uint64_t> bases;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(kind, as_of, bases);
+  }
+};
+
+// A RecordSnapshot or RecordDelta in compressed form.
+struct PackedRecords {
+  RecordKind kind = RecordKind::kConfiguration;
+  // Hash of the content that was the prefix; zero if there was none.
+  std::uint64_t base = 0;
+  std::string bytes;
+
+  template <class Archive>
+  auto serialize(Archive& archive) -> void {
+    archive(kind, base, bytes);
+  }
+};
+
 // One row of a host's evidence.
 struct VersionRow {
   VersionKey key;
@@ -143,7 +170,9 @@
                                     HostDigest,
                                     RecordsRequest,
                                     RecordSnapshot,
-                                    RecordDelta>;
+                                    RecordDelta,
+                                    PackedRecordsRequest,
+                                    PackedRecords>;
 
 }  // namespace zinniastep
 
--- a/src/libzinniastep/gateway/peer_fetch_scheduler.h
+++ b/src/libzinniastep/gateway/peer_fetch_scheduler.h
@@ -1,6 +1,7 @@
 #ifndef LIBZINNIASTEP_GATEWAY_PEER_FETCH_SCHEDULER_H_
 #define LIBZINNIASTEP_GATEWAY_PEER_FETCH_SCHEDULER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -15,19 +16,25 @@
 // A peer of the same region gets the request at once; before a request to
 // another region the host waits a little for a peer of its own region, since
 // all hosts share the link between regions. At most one request per kind is
-// pending.
+// pending. Unanswered ones are repeated ever less often: a state that comes
+// slowly must not be sent several times over.
 class PeerFetchScheduler {
  public:
   // A kind to request from a peer.
   struct Fetch {
     RecordKind kind = RecordKind::kConfiguration;
-    PeerRef peer;
+    // Any peer may be asked if there is none: no other than the one that was
+    // asked in vain is known to have the state.
+    std::optional<PeerRef> peer = std::nullopt;
     // The full state is needed, because the peer's changes did not apply.
     bool full_state = false;
-    // An earlier request was not answered, so any other peer may be asked too.
-    bool is_retry = false;
+    // Earlier requests that were not answered.
+    std::uint32_t retries = 0;
   };
 
+  // This host has no state of the kind yet.
+  auto OnMissing(Instant now, RecordKind kind) -> void;
+
   // A peer reported that it holds a newer state.
   auto OnNewerState(Instant now,
                     RecordKind kind,
@@ -49,13 +56,22 @@
 
  private:
   struct Pending {
-    PeerRef peer;
+    std::optional<PeerRef> peer = std::nullopt;
     bool is_near = false;
+    // This host has no state of the kind at all.
+    bool is_missing = false;
     bool full_state = false;
-    Instant reported_at;
-    std::optional<Instant> requested_at;
+    // When the state was reported, or the last request was sent.
+    Instant since;
+    // Requests so far.
+    std::uint32_t requests = 0;
   };
 
+  // Returns how long to wait before the next request, after the report or the
+  // request before.
+  [[nodiscard]] static auto Delay(const Pending& pending, bool reads_store)
+      -> Duration;
+
   std::map<RecordKind, Pending> pending_;
 };
 
--- a/src/libzinniastep/gateway/record_exchange.cc
+++ b/src/libzinniastep/gateway/record_exchange.cc
@@ -1,8 +1,8 @@
 #include "libzinniastep/gateway/record_exchange.h"
 
-#include <span>
 #include <string>
 #include <utility>
+#include <variant>
 
 namespace zinniastep {
 
@@ -12,13 +12,23 @@
   return std::to_string(static_cast<int>(kind));
 }
 
+// After this many unanswered requests for compressed records the next one asks
+// for plain ones: the peers may be of a release that does not compress.
+constexpr std::uint32_t kPackedRetries = 2;
+// Contents of up to this many bytes are sent as they are: they fit a datagram.
+constexpr std::size_t kLongestPlainAnswer = 1000;
+
 // Returns the bytes that the records' contents take together.
-auto ContentBytes(std::span<const StoredRecord> records) -> std::size_t {
-  std::size_t bytes = 0;
-  for (const StoredRecord& record : records) {
-    bytes += record.content.size();
-  }
-  return bytes;
+auto ContentBytes(const RecordAnswer& answer) -> std::size_t {
+  return std::visit(
+      [](const auto& specific) {
+        std::size_t bytes = 0;
+        for (const StoredRecord& record : specific.records) {
+          bytes += record.content.size();
+        }
+        return bytes;
+      },
+      answer);
 }
 
 }  // namespace
@@ -35,66 +45,128 @@
   fetches_.OnNewerState(now, kind, peer, is_near);
 }
 
-auto RecordExchange::OnReceived(RecordKind kind) -> void {
+auto RecordExchange::OnRead(RecordKind kind) -> void {
   fetches_.OnReceived(kind);
+  packer_.OnChanged(kind, mirror_.records(kind));
 }
 
 auto RecordExchange::SendRequests(Instant now, bool reads_store) -> void {
   for (const PeerFetchScheduler::Fetch& fetch :
        fetches_.TakeDue(now, reads_store)) {
-    const StorePosition as_of =
-        fetch.full_state ? StorePosition() : mirror_.Digest(fetch.kind).as_of;
-    const RecordsRequest request{fetch.kind, as_of};
-    outbox_.Log("records_requested",
-                {{"peer", fetch.peer.host.text()},
-                 {"kind", ToText(fetch.kind)},
-                 {"as_of", as_of.text()},
-                 {"retry", fetch.is_retry ? "yes" : "no"}});
-    outbox_.Send(fetch.peer, request);
-    if (fetch.is_retry) {
-      // The peer may be gone, and no peer reports again a state that all have.
-      outbox_.SendToRandomPeers(1, request);
-    }
+    SendRequest(fetch);
+  }
+}
+
+auto RecordExchange::SendRequest(const PeerFetchScheduler::Fetch& fetch)
+    -> void {
+  const StorePosition as_of =
+      fetch.full_state ? StorePosition() : mirror_.Digest(fetch.kind).as_of;
+  GatewayMessage request = PackedRecordsRequest{
+      fetch.kind, as_of, RecordPacker::Bases(mirror_.records(fetch.kind))};
+  if (fetch.retries >= kPackedRetries) {
+    request = RecordsRequest{fetch.kind, as_of};
+  }
+  outbox_.Log(
+      "records_requested",
+      {{"peer", fetch.peer.has_value() ? fetch.peer->host.text() : "any"},
+       {"kind", ToText(fetch.kind)},
+       {"as_of", as_of.text()},
+       {"retries", std::to_string(fetch.retries)}});
+  if (fetch.peer.has_value()) {
+    outbox_.Send(*fetch.peer, std::move(request));
+  } else {
+    outbox_.SendToRandomPeers(1, request);
   }
 }
 
 // All starting hosts join through the same few peers, and any other peer has
 // the records as well, so the request goes to a random one.
-auto RecordExchange::RequestMissingKinds() -> void {
+auto RecordExchange::RequestMissingKinds(Instant now) -> void {
   for (const RecordKind kind : kAllRecordKinds) {
     if (!mirror_.IsKnown(kind)) {
-      outbox_.SendToRandomPeers(1, RecordsRequest{kind, 0});
+      fetches_.OnMissing(now, kind);
     }
   }
 }
 
+auto RecordExchange::HasNewer(RecordKind kind, StorePosition as_of) const
+    -> bool {
+  return static_cast<std::size_t>(kind) < kRecordKinds &&
+         mirror_.IsKnown(kind) && mirror_.Digest(kind).as_of > as_of;
+}
+
+auto RecordExchange::AnswerSince(RecordKind kind, StorePosition as_of) const
+    -> RecordAnswer {
+  if (auto delta = mirror_.ChangesSince(kind, as_of)) {
+    return *std::move(delta);
+  }
+  RecordSnapshot snapshot = mirror_.Snapshot(kind);
+  snapshot.kept = kept_.kept(kind);
+  return snapshot;
+}
+
+auto RecordExchange::LogSent(const PeerRef& to,
+                             RecordKind kind,
+                             StorePosition since,
+                             std::size_t bytes) -> void {
+  outbox_.Log("records_sent", {{"peer", to.host.text()},
+                               {"kind", ToText(kind)},
+                               {"from", since.text()},
+                               {"as_of", mirror_.Digest(kind).as_of.text()},
+                               {"bytes", std::to_string(bytes)}});
+}
+
 auto RecordExchange::OnRequest(const PeerRef& from,
                                const RecordsRequest& request) -> void {
-  if (static_cast<std::size_t>(request.kind) >= kRecordKinds ||
-      !mirror_.IsKnown(request.kind) ||
-      mirror_.Digest(request.kind).as_of <= request.as_of) {
+  if (!HasNewer(request.kind, request.as_of)) {
     return;
   }
-  auto delta = mirror_.ChangesSince(request.kind, request.as_of);
-  const bool is_full = !delta.has_value();
-  RecordSnapshot snapshot;
-  if (is_full) {
-    snapshot = mirror_.Snapshot(request.kind);
-    snapshot.kept = kept_.kept(request.kind);
+  RecordAnswer answer = AnswerSince(request.kind, request.as_of);
+  LogSent(from, request.kind, request.as_of, ContentBytes(answer));
+  std::visit([&](auto& specific) { outbox_.Send(from, std::move(specific)); },
+             answer);
+}
+
+auto RecordExchange::OnRequest(const PeerRef& from,
+                               const PackedRecordsRequest& request) -> void {
+  if (!HasNewer(request.kind, request.as_of)) {
+    return;
+  }
+  if (auto packed = packer_.Find(request)) {
+    LogSent(from, request.kind, request.as_of, packed->bytes.size());
+    outbox_.Send(from, *std::move(packed));
+    return;
   }
-  outbox_.Log("records_sent",
+  RecordAnswer answer = AnswerSince(request.kind, request.as_of);
+  const std::size_t bytes = ContentBytes(answer);
+  if (bytes > kLongestPlainAnswer) {
+    if (auto packed = packer_.Pack(request, answer); packed.ok()) {
+      LogSent(from, request.kind, request.as_of, packed->bytes.size());
+      outbox_.Send(from, *std::move(packed));
+      return;
+    }
+  }
+  LogSent(from, request.kind, request.as_of, bytes);
+  std::visit([&](auto& specific) { outbox_.Send(from, std::move(specific)); },
+             answer);
+}
+
+auto RecordExchange::Unpack(Instant now,
+                            const PeerRef& from,
+                            const PackedRecords& packed)
+    -> std::optional<RecordAnswer> {
+  auto answer = packer_.Unpack(packed);
+  if (answer.ok()) {
+    return *std::move(answer);
+  }
+  outbox_.Log("peer_records_unreadable",
               {{"peer", from.host.text()},
-               {"kind", ToText(request.kind)},
-               {"from", request.as_of.text()},
-               {"as_of", mirror_.Digest(request.kind).as_of.text()},
-               {"full", is_full ? "yes" : "no"},
-               {"bytes", std::to_string(ContentBytes(
-                             is_full ? snapshot.records : delta->records))}});
-  if (is_full) {
-    outbox_.Send(from, std::move(snapshot));
-  } else {
-    outbox_.Send(from, *std::move(delta));
+               {"kind", ToText(packed.kind)},
+               {"reason", std::string(answer.status().message())}});
+  if (static_cast<std::size_t>(packed.kind) < kRecordKinds) {
+    fetches_.OnDeltaMismatch(now, packed.kind, from);
   }
+  return std::nullopt;
 }
 
 auto RecordExchange::OnSnapshot(const PeerRef& from,
@@ -112,6 +184,7 @@
   const bool changed = kept_.Offer(snapshot.kind, snapshot.kept) || is_replaced;
   fetches_.OnReceived(snapshot.kind);
   if (changed) {
+    packer_.OnChanged(snapshot.kind, mirror_.records(snapshot.kind));
     outbox_.Log("records_from_peer", {{"peer", from.host.text()},
                                       {"kind", ToText(snapshot.kind)},
                                       {"as_of", snapshot.as_of.text()}});
@@ -143,6 +216,7 @@
                {"records", std::to_string(delta.records.size())},
                {"removed", std::to_string(delta.removed.size())},
                {"fits", outcome == DeltaOutcome::kChanged ? "yes" : "no"}});
+  packer_.OnChanged(delta.kind, mirror_.records(delta.kind));
   if (outcome == DeltaOutcome::kMismatch) {
     fetches_.OnDeltaMismatch(now, delta.kind, from);
   }
--- a/src/libzinniastep/gateway/record_exchange.h
+++ b/src/libzinniastep/gateway/record_exchange.h
@@ -1,7 +1,9 @@
 #ifndef LIBZINNIASTEP_GATEWAY_RECORD_EXCHANGE_H_
 #define LIBZINNIASTEP_GATEWAY_RECORD_EXCHANGE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "libzinniastep/base/time.h"
 #include "libzinniastep/core/host_identity.h"
@@ -10,6 +12,7 @@
 #include "libzinniastep/gateway/messages.h"
 #include "libzinniastep/gateway/peer_fetch_scheduler.h"
 #include "libzinniastep/gateway/record_mirror.h"
+#include "libzinniastep/gateway/record_packer.h"
 
 namespace zinniastep {
 
@@ -36,18 +39,27 @@
                     const PeerRef& peer,
                     bool is_near) -> void;
 
-  // This host's state of the kind became newer.
-  auto OnReceived(RecordKind kind) -> void;
+  // The store sent a newer state of the kind.
+  auto OnRead(RecordKind kind) -> void;
 
   // Sends the requests that are due. `reads_store` is whether this host's own
   // watch probably brings the change without a request.
   auto SendRequests(Instant now, bool reads_store) -> void;
 
   // Requests the kinds of which this host has no records yet.
-  auto RequestMissingKinds() -> void;
+  auto RequestMissingKinds(Instant now) -> void;
 
   // Answers a peer's request.
   auto OnRequest(const PeerRef& from, const RecordsRequest& request) -> void;
+  auto OnRequest(const PeerRef& from, const PackedRecordsRequest& request)
+      -> void;
+
+  // Returns a peer's compressed answer, or nullopt if it cannot be read; the
+  // full state is requested then.
+  [[nodiscard]] auto Unpack(Instant now,
+                            const PeerRef& from,
+                            const PackedRecords& packed)
+      -> std::optional<RecordAnswer>;
 
   // Takes a peer's full state, or its changes.
   auto OnSnapshot(const PeerRef& from, const RecordSnapshot& snapshot)
@@ -56,10 +68,24 @@
       -> ExchangeResult;
 
  private:
+  // Returns whether this host has a newer state than the one that a request
+  // names.
+  [[nodiscard]] auto HasNewer(RecordKind kind, StorePosition as_of) const
+      -> bool;
+  // Returns what leads a host from a state to this host's.
+  [[nodiscard]] auto AnswerSince(RecordKind kind, StorePosition as_of) const
+      -> RecordAnswer;
+  auto SendRequest(const PeerFetchScheduler::Fetch& fetch) -> void;
+  auto LogSent(const PeerRef& to,
+               RecordKind kind,
+               StorePosition since,
+               std::size_t bytes) -> void;
+
   RecordMirror& mirror_;
   KeptRecords& kept_;
   GatewayOutbox& outbox_;
   PeerFetchScheduler fetches_;
+  RecordPacker packer_;
 };
 
 }  // namespace zinniastep
