Find a request's route by its prefix instead of trying all routes

What callers saw: nothing of this alone. Each request tried every route of its host name in turn, so a growth of the configuration by thousands of routes made every request dearer on hosts with a tenth of a core, while they were busy taking the growth in.

Cause: TrafficPolicy kept the routes of a host name in a list, longest prefix first, and FindRoute walked it.

Why the fix works: the prefixes of a host name are sorted, each once, and each is linked to the longest other prefix that it begins with. All prefixes of a path are linked from the last entry that doesn't sort after the path, so a binary search and the links find the longest. The cost doesn't depend on the path, only on how deeply the configured prefixes nest. No rule about slashes is needed, since the reader checks none; of equal prefixes the first route wins, as before.

--- a/src/libzinniastep/gateway/traffic_policy.cc
+++ b/src/libzinniastep/gateway/traffic_policy.cc
@@ -19,12 +19,33 @@
       limits_(limits),
       unreadable_(std::move(unreadable)) {
   for (std::size_t index = 0; index < routes_.size(); ++index) {
-    by_host_[routes_[index].host].push_back(index);
+    by_host_[routes_[index].host].push_back({.route = index, .wider = {}});
   }
-  for (auto& [host, indices] : by_host_) {
-    std::ranges::stable_sort(indices, [this](std::size_t a, std::size_t b) {
-      return routes_[a].path_prefix.size() > routes_[b].path_prefix.size();
-    });
+  for (auto& [host, prefixes] : by_host_) {
+    IndexPrefixes(prefixes);
+  }
+}
+
+auto TrafficPolicy::IndexPrefixes(std::vector<IndexedPrefix>& prefixes) const
+    -> void {
+  const auto prefix = [this](const IndexedPrefix& entry) {
+    return PrefixOf(entry);
+  };
+  std::ranges::stable_sort(prefixes, {}, prefix);
+  prefixes.erase(
+      std::unique(prefixes.begin(), prefixes.end(),
+                  [&prefix](const IndexedPrefix& a, const IndexedPrefix& b) {
+                    return prefix(a) == prefix(b);
+                  }),
+      prefixes.end());
+  prefixes.shrink_to_fit();
+  for (std::uint32_t index = 1; index < prefixes.size(); ++index) {
+    std::optional<std::uint32_t> wider = index - 1;
+    while (wider.has_value() &&
+           !PrefixOf(prefixes[index]).starts_with(PrefixOf(prefixes[*wider]))) {
+      wider = prefixes[*wider].wider;
+    }
+    prefixes[index].wider = wider;
   }
 }
 
@@ -76,12 +97,24 @@
   if (found == by_host_.end()) {
     return nullptr;
   }
-  for (const std::size_t index : found->second) {
-    if (path.starts_with(routes_[index].path_prefix)) {
-      return &routes_[index];
+  // A prefix of the path sorts before the path, and whatever sorts between the
+  // two begins with it: all prefixes of the path are linked from the last entry
+  // that does not sort after the path.
+  const std::vector<IndexedPrefix>& prefixes = found->second;
+  const auto after = std::ranges::upper_bound(
+      prefixes, path, {},
+      [this](const IndexedPrefix& entry) { return PrefixOf(entry); });
+  if (after == prefixes.begin()) {
+    return nullptr;
+  }
+  const IndexedPrefix* entry = &*std::prev(after);
+  while (!path.starts_with(PrefixOf(*entry))) {
+    if (!entry->wider.has_value()) {
+      return nullptr;
     }
+    entry = &prefixes[*entry->wider];
   }
-  return nullptr;
+  return &routes_[entry->route];
 }
 
 auto TrafficPolicy::FindService(const ServiceId& id) const
--- a/src/libzinniastep/gateway/traffic_policy.h
+++ b/src/libzinniastep/gateway/traffic_policy.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -134,14 +135,32 @@
   }
 
  private:
+  // One prefix of a host in the index of routes.
+  struct IndexedPrefix {
+    // Position in routes_ of the first route with the prefix.
+    std::size_t route = 0;
+    // Position in the host's index of the longest other prefix that this one
+    // begins with.
+    std::optional<std::uint32_t> wider;
+  };
+
+  // Sorts the routes of one host by prefix and links each prefix to the wider
+  // one.
+  auto IndexPrefixes(std::vector<IndexedPrefix>& prefixes) const -> void;
+
+  [[nodiscard]] auto PrefixOf(const IndexedPrefix& entry) const
+      -> std::string_view {
+    return routes_[entry.route].path_prefix;
+  }
+
   std::uint64_t version_;
   std::vector<ForwardingRoute> routes_;
   std::vector<ForwardingService> services_;
   CallerAccess access_;
   CallerLimits limits_;
   std::vector<UnreadableRule> unreadable_;
-  // Positions in routes_, by host, longest prefix first.
-  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  // By host, sorted by prefix, each prefix once.
+  std::map<std::string, std::vector<IndexedPrefix>, std::less<>> by_host_;
 };
 
 }  // namespace zinniastep
