Judge no peer by answers that waited while the host stood still

Callers saw streams moved away from sound servers on a site of small hosts while a large configuration spread: hosts declared each other lost.

Cause: applying a configuration holds up the control thread for 200 to 900 ms right after it has sent a probe. The next call of OnTime then finds the probe period over and suspects the target, though its answer waits unread. Only gaps of a second and more counted as a pause.

A gateway's membership now counts a gap of the probe timeout as a pause. After a pause the open probe's time starts anew instead of the probe being discarded, so its target is still judged, and the suspicions are extended by the gap as before. A host whose every gap is that long judges nobody itself; it takes over what the others find.

--- a/src/libzinniastep/gateway/gateway_membership.cc
+++ b/src/libzinniastep/gateway/gateway_membership.cc
@@ -10,6 +10,8 @@
   membership.probe_period = std::chrono::milliseconds(400);
   membership.probe_timeout = std::chrono::milliseconds(200);
   membership.suspicion = std::chrono::milliseconds(1000);
+  // An answer can wait unread beyond its timeout in any longer gap.
+  membership.pause = membership.probe_timeout;
   // Each read is a priced call, and peers report new hosts much sooner.
   membership.host_list_period = std::chrono::seconds(60);
   membership.seeds = settings.seeds;
--- a/src/libzinniastep/membership/membership.cc
+++ b/src/libzinniastep/membership/membership.cc
@@ -83,15 +83,17 @@
   }
 }
 
-// After a pause of this process, discards the open probe and extends the
-// suspicions, because peers could not have answered during the pause.
+// After a pause of this process, restarts the open probe's timeout and extends
+// the suspicions, because the answers of the pause may still wait unread.
 auto Membership::DetectPause(Instant now) -> void {
   const Duration gap = now - last_time_;
   if (gap < settings_.pause) {
     return;
   }
-  probe_.reset();
-  next_probe_ = now;
+  if (probe_) {
+    probe_->started = now;
+    next_probe_ = now + settings_.probe_period;
+  }
   for (auto& [host, until] : suspected_until_) {
     until += gap;
   }
