Keep a paused answer alive while its servers are not listed

Callers of a stream under way got it broken off with time left when the only server that was left to try, not reached yet, dropped out of the list of live servers during the pause before the next send.

The pause forgets which servers were not reached, so that they may be tried again. If the list has none of them at its end, the choice says that no server is eligible, there is no server left that was not reached, and the answer was given up. A cut longer than the grace of a lapsed entry does both at once: sends that reach no server, and a list without it.

A request that has paused once now pauses again until its deadline, which is what a request does whose servers are listed but not reached. A request that never paused is given up as before.

undelivered_sends_test, AStreamIsNotCutWhenAServerIsUnlistedDuringAPause: failed 1 of 1 before (two of four events, then cut); passes now, 3 of 3 runs with the others. forwarding_test, silent_server_test, view_change_test and forward_decision_test pass.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -332,7 +332,8 @@
     return;
   }
   waiting_for_server_ = false;
-  if (MayBeLate(progress_) && !unreached_.empty()) {
+  // A server that is not reached may also drop out of the list for a while.
+  if (MayBeLate(progress_) && (pauses_ > 0 || !unreached_.empty())) {
     PauseSending();
     return;
   }
--- a/tests/traffic/undelivered_sends_test.cc
+++ b/tests/traffic/undelivered_sends_test.cc
@@ -69,6 +69,38 @@
   EXPECT_EQ(answer.body, Event(1) + Event(2) + Event(3) + Event(4));
 }
 
+TEST(UndeliveredSends, AStreamIsNotCutWhenAServerIsUnlistedDuringAPause) {
+  const ScriptedServer first([](const std::string&) {
+    ScriptedAnswer answer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2))};
+    answer.end_after = std::chrono::milliseconds(500);
+    answer.end_for = std::chrono::seconds(30);
+    return answer;
+  });
+  const ScriptedServer second([](const std::string&) {
+    return ScriptedAnswer{StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) +
+                          kLastChunk};
+  });
+  EngineHost host({&first});
+  std::thread network([&] {
+    EXPECT_TRUE(Eventually([&first] { return first.requests().size() == 1; }));
+    const auto begin = std::chrono::steady_clock::now();
+    const auto wait_until = [begin](std::chrono::milliseconds after) {
+      EXPECT_TRUE(Eventually([begin, after] {
+        return std::chrono::steady_clock::now() >= begin + after;
+      }));
+    };
+    host.ListServers(ServerAddresses{{first.address(), ClosedAddress()}});
+    wait_until(std::chrono::milliseconds(800));
+    host.ListServers(ServerAddresses{{first.address()}});
+    wait_until(std::chrono::milliseconds(3500));
+    host.ListServers(ServerAddresses{{first.address(), second.address()}});
+  });
+  const CallerAnswer answer = host.Call(EngineHost::Request("/stall/"));
+  network.join();
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Event(1) + Event(2) + Event(3) + Event(4));
+}
+
 TEST(UndeliveredSends, ARequestThatHasNotRunIsRefusedAtOnce) {
   const std::string closed = ClosedAddress();
   EngineHost host(ServerAddresses{{closed, closed, closed, closed, closed}});
