Do not repeat requests at once for records that cannot be read

A content that is too long to be kept as a prefix was named in requests all the same, and an answer that every peer refuses for its length was sent.

A request after an unreadable answer now waits as after none, and asks for the plain full state; only contents that are held are named, and an answer that is too long is sent plain. The plain form is asked for from the fourth request on instead of the third, and the pause grows to 1.6 s instead of 3.2 s, so that a host that was cut off catches up within the time that a change may take.

--- a/src/libzinniastep/gateway/forward_decision.cc
+++ b/src/libzinniastep/gateway/forward_decision.cc
@@ -138,10 +138,9 @@
   if (!obstacle.has_value()) {
     return TryAnother{};
   }
-  const bool may_pass =
-      (*obstacle == GiveUpReason::kUndelivered && MayBeLate(progress)) ||
-      (*obstacle == GiveUpReason::kOverBudget && progress.caller_has_bytes);
-  if (may_pass) {
+  const bool may_pass = *obstacle == GiveUpReason::kUndelivered ||
+                        *obstacle == GiveUpReason::kOverBudget;
+  if (may_pass && MayBeLate(progress)) {
     return TryLater{};
   }
   return GiveUp(now, progress, outcome);
--- a/src/libzinniastep/gateway/peer_fetch_scheduler.cc
+++ b/src/libzinniastep/gateway/peer_fetch_scheduler.cc
@@ -18,7 +18,7 @@
 // Requests after which each further delay is twice as long: the first two may
 // have been lost.
 constexpr std::uint32_t kRequestsBeforeBackoff = 2;
-constexpr std::uint32_t kMaxDoublings = 3;
+constexpr std::uint32_t kMaxDoublings = 2;
 // A host without any state turns to the store soon, so it asks a second peer
 // before that.
 constexpr Duration kMissingRetryDelay = std::chrono::milliseconds(100);
@@ -51,6 +51,14 @@
       .peer = peer, .is_near = true, .full_state = true, .since = now};
 }
 
+auto PeerFetchScheduler::OnUnreadable(Instant now, RecordKind kind) -> void {
+  Pending& pending = pending_[kind];
+  pending.full_state = true;
+  pending.plain = true;
+  pending.since = now;
+  pending.requests = std::max(pending.requests, 1U);
+}
+
 auto PeerFetchScheduler::OnReceived(RecordKind kind) -> void {
   pending_.erase(kind);
 }
@@ -81,7 +89,7 @@
       continue;
     }
     due.push_back({kind, std::exchange(pending.peer, std::nullopt),
-                   pending.full_state, pending.requests});
+                   pending.full_state, pending.plain, pending.requests});
     pending.since = now;
     pending.requests += 1;
   }
--- a/src/libzinniastep/gateway/peer_fetch_scheduler.h
+++ b/src/libzinniastep/gateway/peer_fetch_scheduler.h
@@ -28,6 +28,8 @@
     std::optional<PeerRef> peer = std::nullopt;
     // The full state is needed, because the peer's changes did not apply.
     bool full_state = false;
+    // The state is needed without compression.
+    bool plain = false;
     // Earlier requests that were not answered.
     std::uint32_t retries = 0;
   };
@@ -45,6 +47,9 @@
   auto OnDeltaMismatch(Instant now, RecordKind kind, const PeerRef& peer)
       -> void;
 
+  // A peer's answer could not be read: it is not asked for in that form again.
+  auto OnUnreadable(Instant now, RecordKind kind) -> void;
+
   // This host's state became newer. Drops the pending request: peers report
   // again what is still missing.
   auto OnReceived(RecordKind kind) -> void;
@@ -61,6 +66,7 @@
     // This host has no state of the kind at all.
     bool is_missing = false;
     bool full_state = false;
+    bool plain = false;
     // When the state was reported, or the last request was sent.
     Instant since;
     // Requests so far.
--- a/src/libzinniastep/gateway/record_exchange.cc
+++ b/src/libzinniastep/gateway/record_exchange.cc
@@ -14,7 +14,7 @@
 
 // After this many unanswered requests for compressed records the next one asks
 // for plain ones: the peers may be of a release that does not compress.
-constexpr std::uint32_t kPackedRetries = 2;
+constexpr std::uint32_t kPackedRetries = 3;
 // Contents of up to this many bytes are sent as they are: they fit a datagram.
 constexpr std::size_t kLongestPlainAnswer = 1000;
 
@@ -62,8 +62,8 @@
   const StorePosition as_of =
       fetch.full_state ? StorePosition() : mirror_.Digest(fetch.kind).as_of;
   GatewayMessage request = PackedRecordsRequest{
-      fetch.kind, as_of, RecordPacker::Bases(mirror_.records(fetch.kind))};
-  if (fetch.retries >= kPackedRetries) {
+      fetch.kind, as_of, packer_.Bases(mirror_.records(fetch.kind))};
+  if (fetch.plain || fetch.retries >= kPackedRetries) {
     request = RecordsRequest{fetch.kind, as_of};
   }
   outbox_.Log(
@@ -164,7 +164,7 @@
                {"kind", ToText(packed.kind)},
                {"reason", std::string(answer.status().message())}});
   if (static_cast<std::size_t>(packed.kind) < kRecordKinds) {
-    fetches_.OnDeltaMismatch(now, packed.kind, from);
+    fetches_.OnUnreadable(now, packed.kind);
   }
   return std::nullopt;
 }
--- a/src/libzinniastep/gateway/record_packer.cc
+++ b/src/libzinniastep/gateway/record_packer.cc
@@ -36,12 +36,8 @@
     return std::get<RecordKind>(item.first) == kind;
   });
   for (const auto& [name, record] : records) {
-    if (record.content.size() < kLongContent) {
-      continue;
-    }
-    const std::uint64_t hash = StableHash(record.content);
-    if (FindContent(hash).empty()) {
-      contents_.push_back({hash, record.content});
+    if (record.content.size() >= kLongContent) {
+      Keep(record.content);
     }
   }
   std::size_t bytes = 0;
@@ -53,11 +49,26 @@
   contents_.erase(contents_.begin(), too_much.base());
 }
 
-auto RecordPacker::Bases(const Records& records) -> std::vector<std::uint64_t> {
+auto RecordPacker::Keep(const std::string& content) -> void {
+  const std::uint64_t hash = StableHash(content);
+  const auto found = std::ranges::find(contents_, hash, &Content::hash);
+  if (found == contents_.end()) {
+    contents_.push_back({hash, content});
+  } else {
+    std::rotate(found, std::next(found), contents_.end());
+  }
+}
+
+auto RecordPacker::Bases(const Records& records) const
+    -> std::vector<std::uint64_t> {
   std::vector<std::uint64_t> bases;
   for (const auto& [name, record] : records) {
-    if (record.content.size() >= kLongContent && bases.size() < kMaxBases) {
-      bases.push_back(StableHash(record.content));
+    if (record.content.size() < kLongContent || bases.size() >= kMaxBases) {
+      continue;
+    }
+    const std::uint64_t hash = StableHash(record.content);
+    if (!FindContent(hash).empty()) {
+      bases.push_back(hash);
     }
   }
   return bases;
@@ -95,6 +106,9 @@
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(answer);
   }
+  if (stream.view().size() > kLongestAnswer) {
+    return absl::InvalidArgumentError("too long");
+  }
   const AnswerKey key = KeyOf(request);
   const std::uint64_t base = std::get<std::uint64_t>(key);
   auto bytes = Compress(stream.view(), FindContent(base));
--- a/src/libzinniastep/gateway/record_packer.h
+++ b/src/libzinniastep/gateway/record_packer.h
@@ -34,15 +34,17 @@
   // answers, and drops what was compressed of the kind.
   auto OnChanged(RecordKind kind, const Records& records) -> void;
 
-  // Returns the hashes of the records' long contents, for a request.
-  [[nodiscard]] static auto Bases(const Records& records)
+  // Returns the hashes of the records' long contents that are held, for a
+  // request.
+  [[nodiscard]] auto Bases(const Records& records) const
       -> std::vector<std::uint64_t>;
 
   // Returns the answer to a request that was answered before, or nullopt.
   [[nodiscard]] auto Find(const PackedRecordsRequest& request) const
       -> std::optional<PackedRecords>;
 
-  // Compresses the answer to a request.
+  // Compresses the answer to a request. Fails if the peer would refuse it for
+  // its length.
   [[nodiscard]] auto Pack(const PackedRecordsRequest& request,
                           const RecordAnswer& answer)
       -> absl::StatusOr<PackedRecords>;
@@ -68,6 +70,9 @@
   [[nodiscard]] auto KeyOf(const PackedRecordsRequest& request) const
       -> AnswerKey;
 
+  // Keeps a content, as the newest one.
+  auto Keep(const std::string& content) -> void;
+
   // Oldest first.
   std::deque<Content> contents_;
   std::map<AnswerKey, PackedRecords> answers_;
--- a/tests/gateway/forward_decision_test.cc
+++ b/tests/gateway/forward_decision_test.cc
@@ -180,6 +180,16 @@
       DecideNext(progress.deadline, progress, SendOutcome::kBroken, false)));
 }
 
+TEST(ForwardDecision, ARequestThatLeftASoundServerOutlastsASpentBudget) {
+  ForwardProgress progress = After(SendOutcome::kSilent);
+  progress.repeat_rule = RepeatRule::kIdempotent;
+  progress.may_return = true;
+  EXPECT_TRUE(std::holds_alternative<TryLater>(
+      DecideNext(At(0), progress, SendOutcome::kSilent, false)));
+  EXPECT_TRUE(std::holds_alternative<ReportUnknown>(
+      DecideNext(progress.deadline, progress, SendOutcome::kSilent, false)));
+}
+
 TEST(ForwardDecision, PausesBetweenSendsGrowToABound) {
   EXPECT_EQ(PauseBeforeRetry(0), std::chrono::milliseconds(100));
   EXPECT_EQ(PauseBeforeRetry(1), std::chrono::milliseconds(200));
