Ask a suspect again before its loss, and repeat its refutation

Callers saw streams moved away from a sound server whose host stood still for half a second: the host answered again in time, but some of its peers declared it lost.

Cause: a refutation spreads through the fleet no faster than the suspicion did, so hosts that heard early of the suspicion gave the verdict before they heard of the refutation. A host that many peers ask at once also ran out of sends of its own record: later answers came without the refutation.

A host now pings a suspect directly when half of the suspicion is over.

The suspicion is no longer than before. A host that is lost costs each peer one ping more.

--- a/src/libzinniastep/membership/membership.cc
+++ b/src/libzinniastep/membership/membership.cc
@@ -94,8 +94,8 @@
     probe_->started = now;
     next_probe_ = now + settings_.probe_period;
   }
-  for (auto& [host, until] : suspected_until_) {
-    until += gap;
+  for (auto& [host, suspicion] : suspicions_) {
+    suspicion.until += gap;
   }
 }
 
@@ -184,17 +184,27 @@
   MemberRecord suspect = *held;
   suspect.state = MemberState::kSuspect;
   Accept(now, suspect, effects);
-  // Sends the suspicion to the suspected host directly, so that a live host can
-  // refute it before the record reaches it through other hosts.
-  Send(host, suspect.identity.peer_address,
+  AskSuspect(host, effects);
+}
+
+// Sends the suspicion to the suspected host directly, so that a live host can
+// refute it before the record reaches it through other hosts.
+auto Membership::AskSuspect(const HostId& host, Effects& effects) -> void {
+  Send(host, table_.Find(host)->identity.peer_address,
        Ping{++sequence_, HostId(), Piggyback(host)}, effects);
 }
 
 auto Membership::ExpireSuspects(Instant now, Effects& effects) -> void {
   std::vector<HostId> expired;
-  for (const auto& [host, until] : suspected_until_) {
-    if (now >= until) {
+  for (auto& [host, suspicion] : suspicions_) {
+    if (now >= suspicion.until) {
       expired.push_back(host);
+    } else if (!suspicion.asked &&
+               now >= suspicion.until - settings_.suspicion / 2) {
+      // A refutation spreads no faster than the suspicion did, and could come
+      // too late through other hosts.
+      suspicion.asked = true;
+      AskSuspect(host, effects);
     }
   }
   for (const HostId& host : expired) {
@@ -307,8 +317,18 @@
                         const Ping& ping,
                         Effects& effects) -> void {
   MergeAll(now, ping.records, effects);
-  Send(from.host, from.address,
-       Ack{ping.sequence, ping.origin, Piggyback(from.host)}, effects);
+  Ack ack{ping.sequence, ping.origin, Piggyback(from.host)};
+  const bool doubts_self =
+      std::ranges::any_of(ping.records, [this](const MemberRecord& record) {
+        return record.identity.host == self_.host &&
+               record.state != MemberState::kAlive;
+      });
+  if (doubts_self) {
+    // The queue drops the refutation after a number of sends, but every host
+    // that asks needs it.
+    ack.records.insert(ack.records.begin(), OwnRecord());
+  }
+  Send(from.host, from.address, std::move(ack), effects);
 }
 
 auto Membership::Handle(Instant now,
@@ -443,10 +463,10 @@
   }
   table_.Put(next);
   queue_.Add(host);
-  suspected_until_.erase(host);
+  suspicions_.erase(host);
   lost_since_.erase(host);
   if (record.state == MemberState::kSuspect) {
-    suspected_until_[host] = now + settings_.suspicion;
+    suspicions_[host] = {now + settings_.suspicion, false};
   }
   if (!is_live) {
     lost_since_[host] = now;
--- a/src/libzinniastep/membership/membership.h
+++ b/src/libzinniastep/membership/membership.h
@@ -106,11 +106,17 @@
     Instant started;
     bool indirect = false;
   };
+  struct Suspicion {
+    Instant until;
+    // The suspect was asked directly.
+    bool asked = false;
+  };
 
   auto RunProbes(Instant now, Effects& effects) -> void;
   auto StartProbe(Instant now, Effects& effects) -> void;
   auto SendIndirectProbes(Effects& effects) -> void;
   auto NextTarget() -> std::optional<HostId>;
+  auto AskSuspect(const HostId& host, Effects& effects) -> void;
   auto ExpireSuspects(Instant now, Effects& effects) -> void;
   auto ContactNonLiveHosts(Effects& effects) -> void;
   auto StartSync(Instant now, Effects& effects) -> void;
@@ -158,7 +164,7 @@
   Random random_;
   MemberTable table_;
   UpdateQueue queue_;
-  std::map<HostId, Instant> suspected_until_;
+  std::map<HostId, Suspicion> suspicions_;
   std::map<HostId, Instant> lost_since_;
   std::vector<HostIdentity> live_;
   bool live_changed_ = true;
--- a/tests/membership/held_up_host_test.cc
+++ b/tests/membership/held_up_host_test.cc
@@ -205,6 +205,33 @@
   }
 }
 
+// Guards against a host that is declared lost although it can refute in time.
+TEST(HeldUpHostTest, AHostHeldUpBelowASecondIsNotLost) {
+  for (const int stall_ms : {300, 500, 700, 900}) {
+    HeldUpFleet fleet(stall_ms);
+    for (std::uint64_t round = 0; round < kRounds; ++round) {
+      fleet.HoldUp(5, milliseconds(37 * round), milliseconds(stall_ms));
+      fleet.RunFor(seconds(5));
+    }
+    EXPECT_EQ(fleet.Verdicts(5), 0U) << stall_ms << " ms";
+  }
+}
+
+// Guards against wrong verdicts while all hosts decode a large configuration
+// within a few seconds.
+TEST(HeldUpHostTest, HostsHeldUpOneAfterTheOtherAreNotLost) {
+  for (const std::uint64_t seed : {1, 2, 3, 4}) {
+    HeldUpFleet fleet(seed);
+    Random random(seed);
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      fleet.HoldUp(host, milliseconds(random.Below(4000)),
+                   milliseconds(300 + random.Below(600)));
+    }
+    fleet.RunFor(seconds(10));
+    EXPECT_EQ(fleet.Verdicts(), 0U) << "seed " << seed;
+  }
+}
+
 // Guards against a late verdict on a host that is really lost.
 TEST(HeldUpHostTest, AStoppedHostIsLostWhileOthersAreHeldUp) {
   HeldUpFleet fleet(1);
