--- a/src/libzinniastep/gateway/service_split.h
+++ b/src/libzinniastep/gateway/service_split.h
@@ -13,6 +13,8 @@
   // Relative to the other shares of the route; a share of zero gets no
   // requests.
   double weight = 1.0;
+
+  auto operator==(const ServiceShare&) const -> bool = default;
 };
 
 // Returns the service that serves a position of a route's traffic, from 0 up to
--- a/src/libzinniastep/gateway/traffic_policy.h
+++ b/src/libzinniastep/gateway/traffic_policy.h
@@ -50,6 +50,8 @@
   std::vector<ServiceShare> split;
   // Regions that may serve the route; empty means all.
   std::vector<RegionId> home_regions;
+
+  auto operator==(const ForwardingRoute&) const -> bool = default;
 };
 
 // Properties that the backend servers of a service share.
