End the gateway's threads before the store's loop that they use

~GatewayDaemon freed the peers' transport and the store's loop while the control thread still ran. A tick in between submitted a read to the freed loop and waited for ever on its mutex, whose word the allocator reuses; the main thread waited for that thread. The same moment could reach a null transport from either thread.

The threads now end first. What still posts to them finds their stopped io_contexts, which outlive it.

Sanitizers were not run.

--- a/src/libzinniastep/traffic/gateway_daemon.cc
+++ b/src/libzinniastep/traffic/gateway_daemon.cc
@@ -91,9 +91,8 @@
       operator_page_(engine_, metrics_, settings.signing_keys) {}
 
 GatewayDaemon::~GatewayDaemon() {
-  // What brings events in ends first, then the threads, then the rest.
-  peers_.reset();
-  store_loop_.reset();
+  // The threads use the peers and the store's loop, which may still post to
+  // them until they end themselves.
   control_work_.reset();
   traffic_work_.reset();
   control_io_.stop();
@@ -104,6 +103,8 @@
   if (traffic_thread_.joinable()) {
     traffic_thread_.join();
   }
+  peers_.reset();
+  store_loop_.reset();
 }
 
 auto GatewayDaemon::Listen() -> absl::Status {
