Count no repeat for a send that reached no server

A stream that paused since no server was reached used up the repeat budget of its service: each of its sends counted as a repeat, though none arrived, and other requests got no second try.

A repeat is counted when it is decided on. One that reaches no server is still to come, so that the next send is the same repeat. The fleet's bound on arrivals is as before.

undelivered_sends_test, SendsThatReachNoServerDoNotSpendTheRepeatBudget: failed on the code before (two of four events after 8 s), passes now.

--- a/src/libzinniastep/traffic/forwarder.cc
+++ b/src/libzinniastep/traffic/forwarder.cc
@@ -351,6 +351,21 @@
   TakeStep(answer_begun_ ? NextStep(AbortAnswer{}) : NextStep(ReportUnknown{}));
 }
 
+auto Forwarder::ResumeSending() -> void {
+  retry_at_.reset();
+  // One more send that reaches no server leads to the next pause.
+  progress_.undelivered_sends =
+      std::min(progress_.undelivered_sends, kMaxUndeliveredSends - 1);
+  const Instant now = engine_.Now();
+  const NextStep step =
+      DecideNext(now, progress_, last_outcome_, engine_.MayRepeat(service_));
+  if (std::holds_alternative<TryAnother>(step) &&
+      last_outcome_ != SendOutcome::kNotSent) {
+    engine_.BudgetFor(service_).OnRepeat(now);
+  }
+  TakeStep(step);
+}
+
 auto Forwarder::RequestText(const UsableBackend& backend) const -> std::string {
   ForwardedFields fields;
   fields.time_left = TimeLeft();
--- a/src/libzinniastep/traffic/forwarder_outcome.cc
+++ b/src/libzinniastep/traffic/forwarder_outcome.cc
@@ -72,7 +72,8 @@
   const auto obstacle = RetryObstacle(now, progress_, may_repeat);
   const NextStep step = DecideNext(now, progress_, outcome, may_repeat);
   const bool tries_another = std::holds_alternative<TryAnother>(step);
-  if (tries_another && arrived_) {
+  // A repeat that reached no server was counted, and is still to come.
+  if (tries_another && arrived_ && outcome != SendOutcome::kNotSent) {
     engine_.BudgetFor(service_).OnRepeat(now);
   }
   engine_.Log(
@@ -134,20 +135,6 @@
   ArmTimer();
 }
 
-auto Forwarder::ResumeSending() -> void {
-  retry_at_.reset();
-  // One more send that reaches no server leads to the next pause.
-  progress_.undelivered_sends =
-      std::min(progress_.undelivered_sends, kMaxUndeliveredSends - 1);
-  const Instant now = engine_.Now();
-  const NextStep step =
-      DecideNext(now, progress_, last_outcome_, engine_.MayRepeat(service_));
-  if (std::holds_alternative<TryAnother>(step)) {
-    engine_.BudgetFor(service_).OnRepeat(now);
-  }
-  TakeStep(step);
-}
-
 auto Forwarder::TakeStep(const NextStep& step) -> void {
   std::visit(
       Overloaded{[this](const TryAnother&) { Dispatch(); },
--- a/tests/traffic/undelivered_sends_test.cc
+++ b/tests/traffic/undelivered_sends_test.cc
@@ -17,6 +17,9 @@
 // How long no server is reached.
 constexpr std::chrono::milliseconds kUnreachable(1500);
 
+// The repeat budget's window is longer than this.
+constexpr std::chrono::seconds kLongestAnswer(8);
+
 // Returns an address at which nothing listens.
 auto ClosedAddress() -> std::string {
   const ScriptedServer server(
@@ -26,7 +29,8 @@
 
 // Returns the caller's answer to a stream whose server ends after two events,
 // while that many others are reached only after a while.
-auto CallWhileNoServerIsReached(std::size_t others) -> CallerAnswer {
+auto CallWhileNoServerIsReached(std::size_t others, RepeatLimits limits = {})
+    -> CallerAnswer {
   const ScriptedServer first([](const std::string&) {
     ScriptedAnswer answer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2))};
     answer.end_after = std::chrono::milliseconds(500);
@@ -37,7 +41,7 @@
     return ScriptedAnswer{StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) +
                           kLastChunk};
   });
-  EngineHost host({&first});
+  EngineHost host({&first}, limits);
   const auto list_others = [&](const std::string& address) {
     ServerAddresses servers{{first.address()}};
     servers.list.resize(1 + others, address);
@@ -51,7 +55,8 @@
         [reachable] { return std::chrono::steady_clock::now() >= reachable; }));
     list_others(second.address());
   });
-  CallerAnswer answer = host.Call(EngineHost::Request("/stall/"));
+  CallerAnswer answer =
+      host.CallUntil(EngineHost::Request("/stall/"), kLongestAnswer);
   network.join();
   EXPECT_EQ(second.requests().size(), 1U);
   return answer;
@@ -69,6 +74,12 @@
   EXPECT_EQ(answer.body, Event(1) + Event(2) + Event(3) + Event(4));
 }
 
+TEST(UndeliveredSends, SendsThatReachNoServerDoNotSpendTheRepeatBudget) {
+  const CallerAnswer answer = CallWhileNoServerIsReached(6, {0.0, 3.0});
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.body, Event(1) + Event(2) + Event(3) + Event(4));
+}
+
 TEST(UndeliveredSends, AStreamIsNotCutWhenAServerIsUnlistedDuringAPause) {
   const ScriptedServer first([](const std::string&) {
     ScriptedAnswer answer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2))};
