--- a/tests/traffic/undelivered_sends_test.cc
+++ b/tests/traffic/undelivered_sends_test.cc
@@ -27,20 +27,24 @@
   return server.address();
 }
 
+// The server ends a while after the first two events of a stream.
+auto EndAfterTwoEvents(const std::string& /*request*/) -> ScriptedAnswer {
+  ScriptedAnswer answer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2))};
+  answer.end_after = std::chrono::milliseconds(500);
+  answer.end_for = std::chrono::seconds(30);
+  return answer;
+}
+
+auto GoOnAfterTwoEvents(const std::string& /*request*/) -> ScriptedAnswer {
+  return {StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) + kLastChunk};
+}
+
 // Returns the caller's answer to a stream whose server ends after two events,
 // while that many others are reached only after a while.
 auto CallWhileNoServerIsReached(std::size_t others, RepeatLimits limits = {})
     -> CallerAnswer {
-  const ScriptedServer first([](const std::string&) {
-    ScriptedAnswer answer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2))};
-    answer.end_after = std::chrono::milliseconds(500);
-    answer.end_for = std::chrono::seconds(30);
-    return answer;
-  });
-  const ScriptedServer second([](const std::string&) {
-    return ScriptedAnswer{StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) +
-                          kLastChunk};
-  });
+  const ScriptedServer first(EndAfterTwoEvents);
+  const ScriptedServer second(GoOnAfterTwoEvents);
   EngineHost host({&first}, limits);
   const auto list_others = [&](const std::string& address) {
     ServerAddresses servers{{first.address()}};
@@ -81,16 +85,8 @@
 }
 
 TEST(UndeliveredSends, AStreamIsNotCutWhenAServerIsUnlistedDuringAPause) {
-  const ScriptedServer first([](const std::string&) {
-    ScriptedAnswer answer{StreamHead() + Chunk(Event(1)) + Chunk(Event(2))};
-    answer.end_after = std::chrono::milliseconds(500);
-    answer.end_for = std::chrono::seconds(30);
-    return answer;
-  });
-  const ScriptedServer second([](const std::string&) {
-    return ScriptedAnswer{StreamHead() + Chunk(Event(3)) + Chunk(Event(4)) +
-                          kLastChunk};
-  });
+  const ScriptedServer first(EndAfterTwoEvents);
+  const ScriptedServer second(GoOnAfterTwoEvents);
   EngineHost host({&first});
   std::thread network([&] {
     EXPECT_TRUE(Eventually([&first] { return first.requests().size() == 1; }));
